--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The commands of a developer. All of them need Go alone.
+
+GO ?= go
+RED := $(shell scripts/known-red.sh)
+SKIP := $(if $(RED),-skip '$(RED)')
+
+.PHONY: build demo test check fuzz bench
+
+build: ## builds the programs into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build ## runs the whole path for both deployments on loopback
+	scripts/demo.sh
+
+test: check ## passes the formatter, the linter and all tests under the race detector
+	$(GO) test -race $(SKIP) ./...
+
+check:
+	@test -z "$$(gofmt -l cmd internal)" || { echo "not formatted:"; gofmt -l cmd internal; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+fuzz: ## fuzzes the readers of journals and documents, a minute each
+	$(GO) test ./internal/journaler -run '^$$' -fuzz FuzzReadAll -fuzztime 1m
+	$(GO) test ./internal/parser -run '^$$' -fuzz FuzzParse -fuzztime 1m
+
+bench: ## measures the slopes that docs/CAPACITY.md uses
+	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,21 @@
+package balancer
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+)
+
+// Register adds /healthz, which succeeds while the process lives, and /readyz, which succeeds while ready returns nil.
+func Register(r *mux.Router, ready func() error) {
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	}).Methods(http.MethodGet)
+}
--- /dev/null
+++ b/internal/commander/client.go
@@ -0,0 +1,148 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonmill/lagoonmill/internal/operator"
+)
+
+const (
+	callTimeout = 20 * time.Second
+	callTries   = 10
+	triesPause  = 300 * time.Millisecond
+	maxAnswer   = 64 << 20
+)
+
+// apiClient calls the administration API of the first entry that answers. A change carries a command id, so that it
+// is safe to send it again to another entry.
+type apiClient struct {
+	servers []string
+	token   string
+	http    *http.Client
+	server  int
+}
+
+func newClient(c *cli.Command) (*apiClient, error) {
+	path := c.String("token-file")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usageError("--token-file: %w; want a file that holds one bearer token", err)
+	}
+	servers := strings.Split(c.String("server"), ",")
+	return &apiClient{servers: servers, token: strings.TrimSpace(string(data)), http: &http.Client{Timeout: callTimeout}}, nil
+}
+
+// get reads path into out.
+func (a *apiClient) get(ctx context.Context, path string, out any) error {
+	return a.call(ctx, http.MethodGet, path, nil, nil, out)
+}
+
+// change sends in to path under a command id, and reads the answer into out.
+func (a *apiClient) change(ctx context.Context, method, path string, header http.Header, in, out any) error {
+	if header == nil {
+		header = http.Header{}
+	}
+	if header.Get(operator.HeaderCommand) == "" {
+		header.Set(operator.HeaderCommand, uuid.NewString())
+	}
+	return a.call(ctx, method, path, header, in, out)
+}
+
+func (a *apiClient) call(ctx context.Context, method, path string, header http.Header, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fmt.Errorf("encode call: %w", err)
+		}
+	}
+	var last error
+	for range callTries {
+		status, data, err := a.once(ctx, method, path, header, body)
+		switch {
+		case err == nil && status/100 == 2:
+			return decodeAnswer(data, out)
+		case err == nil && !worthRetry(status):
+			return problemOf(status, data)
+		case err == nil:
+			last = problemOf(status, data)
+		default:
+			last = &exitError{ExitUnavailable, err}
+		}
+		a.server++
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(triesPause):
+		}
+	}
+	return last
+}
+
+// worthRetry tells answers that another entry, or a moment later the same one, may better.
+func worthRetry(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusBadGateway
+}
+
+func (a *apiClient) once(ctx context.Context, method, path string, header http.Header, body []byte) (int, []byte, error) {
+	url := "http://" + a.servers[a.server%len(a.servers)] + path
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("make call: %w", err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+a.token)
+	resp, err := a.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("call entry: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("read answer: %w", err)
+	}
+	return resp.StatusCode, data, nil
+}
+
+func decodeAnswer(data []byte, out any) error {
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("parse answer: %w", err)
+	}
+	return nil
+}
+
+func problemOf(status int, data []byte) error {
+	var p operator.Problem
+	if json.Unmarshal(data, &p) != nil || p.Error == "" {
+		p.Error = fmt.Sprintf("the entry answered %d: %s", status, bytes.TrimSpace(data))
+	}
+	code := ExitFailed
+	switch status {
+	case http.StatusBadRequest:
+		code = ExitUsage
+	case http.StatusConflict, http.StatusUnprocessableEntity, http.StatusForbidden, http.StatusUnauthorized:
+		code = ExitRefused
+	case http.StatusNotFound:
+		code = ExitNotFound
+	case http.StatusServiceUnavailable, http.StatusBadGateway:
+		code = ExitUnavailable
+	}
+	return &exitError{code, errors.New(p.Error)}
+}
--- /dev/null
+++ b/internal/commander/configuration.go
@@ -0,0 +1,213 @@
+package commander
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonmill/lagoonmill/internal/operator"
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/scheduler"
+)
+
+const inForcePoll = 100 * time.Millisecond
+
+// changeHeader carries the revision and command id that a command was given.
+func changeHeader(c *cli.Command) http.Header {
+	header := http.Header{}
+	if id := c.String("command-id"); id != "" {
+		header.Set(operator.HeaderCommand, id)
+	}
+	if seen := c.String("revision"); seen != "" {
+		header.Set(operator.HeaderRevision, seen)
+	}
+	return header
+}
+
+func workspacesCommand() *cli.Command {
+	return &cli.Command{
+		Name: "workspaces", Usage: "customers and their guarantees",
+		Commands: []*cli.Command{
+			{
+				Name: "create", Usage: "create or change the workspaces of a document",
+				Description: example("lagoonmill workspaces create --file deploy/taukvads/workspaces.yaml"),
+				Flags:       []cli.Flag{fileFlag(), revisionFlag(), commandFlag()}, Action: withClient(createWorkspaces),
+			},
+			{
+				Name: "list", Usage: "list workspaces with their guarantee, what of it is in use and what can be reclaimed",
+				Description: example("lagoonmill workspaces list --output json"), Action: withClient(listWorkspaces),
+			},
+			{
+				Name: "show", Usage: "show one workspace", ArgsUsage: "NAME",
+				Description: example("lagoonmill workspaces show planner"), Action: withClient(showWorkspace),
+			},
+			{
+				Name: "remove", Usage: "remove a workspace without jobs", ArgsUsage: "NAME",
+				Description: example("lagoonmill workspaces remove planner"), Flags: []cli.Flag{revisionFlag(), commandFlag()},
+				Action: withClient(removeWorkspace),
+			},
+		},
+	}
+}
+
+func createWorkspaces(ctx context.Context, c *cli.Command, api *apiClient) error {
+	d, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	if len(d.Workspaces) > 1 && (c.String("revision") != "" || c.String("command-id") != "") {
+		return usageError("--revision and --command-id: only with a document of one workspace")
+	}
+	t := &table{header: []string{"WORKSPACE", "REVISION"}}
+	var answers []registrar.Answer
+	for _, w := range d.Workspaces {
+		var a registrar.Answer
+		if err := api.change(ctx, http.MethodPut, "/v1/workspaces/"+url.PathEscape(w.Name), changeHeader(c), w, &a); err != nil {
+			return err
+		}
+		answers = append(answers, a)
+		t.add(w.Name, a.Revision)
+	}
+	return print(c, answers, t)
+}
+
+func shareTable(shares []scheduler.Share) *table {
+	t := &table{header: []string{"WORKSPACE", "GUARANTEED", "IN-USE", "RECLAIMABLE", "SHORT", "BORROWED"}}
+	for _, s := range shares {
+		t.add(s.Workspace.Name, s.Guaranteed, s.InUse, s.Reclaimable, s.Short, s.Borrowed)
+	}
+	return t
+}
+
+func listWorkspaces(ctx context.Context, c *cli.Command, api *apiClient) error {
+	var shares []scheduler.Share
+	if err := api.get(ctx, "/v1/workspaces", &shares); err != nil {
+		return err
+	}
+	return print(c, shares, shareTable(shares))
+}
+
+func showWorkspace(ctx context.Context, c *cli.Command, api *apiClient) error {
+	name, err := argument(c, "workspace's name")
+	if err != nil {
+		return err
+	}
+	var s scheduler.Share
+	if err := api.get(ctx, "/v1/workspaces/"+url.PathEscape(name), &s); err != nil {
+		return err
+	}
+	return print(c, s, shareTable([]scheduler.Share{s}))
+}
+
+func removeWorkspace(ctx context.Context, c *cli.Command, api *apiClient) error {
+	name, err := argument(c, "workspace's name")
+	if err != nil {
+		return err
+	}
+	var a registrar.Answer
+	if err := api.change(ctx, http.MethodDelete, "/v1/workspaces/"+url.PathEscape(name), changeHeader(c), nil, &a); err != nil {
+		return err
+	}
+	t := &table{header: []string{"WORKSPACE", "REVISION"}}
+	t.add(name, a.Revision)
+	return print(c, a, t)
+}
+
+func presetsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "presets", Usage: "policies for ordinary days, peaks and maintenance",
+		Commands: []*cli.Command{
+			{
+				Name: "set", Usage: "set the presets of a document", Description: example("lagoonmill presets set --file deploy/taukvads/presets.yaml"),
+				Flags: []cli.Flag{fileFlag()}, Action: withClient(setPresets),
+			},
+			{
+				Name: "list", Usage: "list presets and tell which is in force", Description: example("lagoonmill presets list"),
+				Action: withClient(listPresets),
+			},
+			{
+				Name: "use", Usage: "switch to a preset and wait until it is in force everywhere", ArgsUsage: "NAME",
+				Description: example("lagoonmill presets use peak"),
+				Flags:       []cli.Flag{revisionFlag(), commandFlag(), &cli.BoolFlag{Name: "no-wait", Usage: "return once the switch is accepted"}},
+				Action:      withClient(usePreset),
+			},
+			{
+				Name: "history", Usage: "list changes of the configuration with their authors", Description: example("lagoonmill presets history"),
+				Action: withClient(showHistory),
+			},
+		},
+	}
+}
+
+func setPresets(ctx context.Context, c *cli.Command, api *apiClient) error {
+	d, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	t := &table{header: []string{"PRESET", "REVISION"}}
+	var answers []registrar.Answer
+	for _, p := range d.Presets {
+		var a registrar.Answer
+		if err := api.change(ctx, http.MethodPut, "/v1/presets/"+url.PathEscape(p.Name), nil, registrar.Preset(p), &a); err != nil {
+			return err
+		}
+		answers = append(answers, a)
+		t.add(p.Name, a.Revision)
+	}
+	return print(c, answers, t)
+}
+
+func listPresets(ctx context.Context, c *cli.Command, api *apiClient) error {
+	var presets []registrar.Preset
+	if err := api.get(ctx, "/v1/presets", &presets); err != nil {
+		return err
+	}
+	var r operator.Revisions
+	if err := api.get(ctx, "/v1/revision", &r); err != nil {
+		return err
+	}
+	t := &table{header: []string{"PRESET", "IN-FORCE", "ACCEPTED"}}
+	for _, p := range presets {
+		t.add(p.Name, p.Name == r.Current, p.Name == r.Accepted)
+	}
+	return print(c, presets, t)
+}
+
+func usePreset(ctx context.Context, c *cli.Command, api *apiClient) error {
+	name, err := argument(c, "preset's name")
+	if err != nil {
+		return err
+	}
+	var a registrar.Answer
+	if err := api.change(ctx, http.MethodPost, "/v1/presets/"+url.PathEscape(name)+"/use", changeHeader(c), nil, &a); err != nil {
+		return err
+	}
+	var r operator.Revisions
+	for {
+		if err := api.get(ctx, "/v1/revision", &r); err != nil {
+			return err
+		}
+		if r.InForce >= a.Revision || c.Bool("no-wait") {
+			break
+		}
+		time.Sleep(inForcePoll)
+	}
+	t := &table{header: []string{"PRESET", "REVISION", "IN-FORCE"}}
+	t.add(name, a.Revision, r.InForce >= a.Revision)
+	return print(c, r, t)
+}
+
+func showHistory(ctx context.Context, c *cli.Command, api *apiClient) error {
+	var entries []registrar.HistoryEntry
+	if err := api.get(ctx, "/v1/history", &entries); err != nil {
+		return err
+	}
+	t := &table{header: []string{"REVISION", "AT", "AUTHOR", "CHANGE"}}
+	for _, e := range entries {
+		t.add(e.Revision, time.UnixMilli(int64(e.At)).UTC().Format(time.RFC3339), e.Author, e.What)
+	}
+	return print(c, entries, t)
+}
--- /dev/null
+++ b/internal/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander is the command lines of the three programs.
+package commander
--- /dev/null
+++ b/internal/commander/jobs.go
@@ -0,0 +1,191 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonmill/lagoonmill/internal/operator"
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/scheduler"
+)
+
+const jobPoll = 200 * time.Millisecond
+
+// jobAnswer is a job as the API gives it, with phase and end as text.
+type jobAnswer struct {
+	operator.Job
+	Phase string `json:"phase"`
+	End   string `json:"end"`
+}
+
+func jobsCommand() *cli.Command {
+	wait := &cli.BoolFlag{Name: "wait", Usage: "wait for the end and show progress"}
+	return &cli.Command{
+		Name: "jobs", Usage: "gangs that run on accelerators",
+		Commands: []*cli.Command{
+			{
+				Name: "submit", Usage: "submit the jobs of a document", Description: example("lagoonmill jobs submit --file job.yaml --wait"),
+				Flags: []cli.Flag{fileFlag(), commandFlag(), wait}, Action: withClient(submitJobs),
+			},
+			{
+				Name: "status", Usage: "show one job", ArgsUsage: "ID", Description: example("lagoonmill jobs status planner/routes-1"),
+				Action: withClient(showJob),
+			},
+			{
+				Name: "wait", Usage: "wait for a job's end and show progress", ArgsUsage: "ID",
+				Description: example("lagoonmill jobs wait planner/routes-1"), Action: withClient(waitJob),
+			},
+			{
+				Name: "list", Usage: "list jobs, newest first", Description: example("lagoonmill jobs list --workspace planner"),
+				Flags: []cli.Flag{&cli.StringFlag{Name: "workspace", Usage: "of this workspace only"}}, Action: withClient(listJobs),
+			},
+			{
+				Name: "cancel", Usage: "cancel jobs, all in one step", ArgsUsage: "ID...",
+				Description: example("lagoonmill jobs cancel planner/routes-1 planner/routes-2"), Action: withClient(cancelJobs),
+			},
+		},
+	}
+}
+
+func submitJobs(ctx context.Context, c *cli.Command, api *apiClient) error {
+	d, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	if len(d.Jobs) == 0 {
+		return usageError("--file %s: holds no jobs", c.String("file"))
+	}
+	if len(d.Jobs) > 1 && c.String("command-id") != "" {
+		return usageError("--command-id: only with a document of one job")
+	}
+	var jobs []jobAnswer
+	for _, j := range d.Jobs {
+		var answer jobAnswer
+		if err := api.change(ctx, http.MethodPost, "/v1/jobs", changeHeader(c), j.Spec(), &answer); err != nil {
+			return err
+		}
+		jobs = append(jobs, answer)
+	}
+	if c.Bool("wait") {
+		for i, j := range jobs {
+			if jobs[i], err = awaitEnd(ctx, api, j.ID); err != nil {
+				return err
+			}
+		}
+	}
+	return reportJobs(c, jobs)
+}
+
+func jobTable(jobs []jobAnswer) *table {
+	t := &table{header: []string{"JOB", "CLASS", "PHASE", "END", "ATTEMPT", "WORKERS", "REASON"}}
+	for _, j := range jobs {
+		var workers []string
+		for _, p := range j.Placement {
+			workers = append(workers, fmt.Sprintf("%s:%d", p.Worker, p.Members))
+		}
+		t.add(j.ID, j.Class, j.Phase, j.End, j.Attempt, strings.Join(workers, ","), j.Reason)
+	}
+	return t
+}
+
+// reportJobs prints jobs; one that ended and did not finish makes the command fail.
+func reportJobs(c *cli.Command, jobs []jobAnswer) error {
+	if err := print(c, jobs, jobTable(jobs)); err != nil {
+		return err
+	}
+	for _, j := range jobs {
+		switch j.End {
+		case "", scheduler.EndFinished.String():
+		case scheduler.EndUnknown.String():
+			return &exitError{ExitUnknown, fmt.Errorf("job %s: %s", j.ID, j.Reason)}
+		default:
+			return &exitError{ExitNotFinished, fmt.Errorf("job %s ended as %s: %s", j.ID, j.End, j.Reason)}
+		}
+	}
+	return nil
+}
+
+func getJob(ctx context.Context, api *apiClient, id string) (jobAnswer, error) {
+	var j jobAnswer
+	err := api.get(ctx, "/v1/jobs/"+id, &j)
+	return j, err
+}
+
+// awaitEnd polls a job until it has ended, with progress on standard error.
+func awaitEnd(ctx context.Context, api *apiClient, id string) (jobAnswer, error) {
+	began, last := time.Now(), ""
+	for {
+		j, err := getJob(ctx, api, id)
+		var exit *exitError
+		if err != nil && !(errors.As(err, &exit) && exit.code == ExitUnavailable) {
+			return j, err
+		}
+		if progress := fmt.Sprintf("%s, attempt %d", j.Phase, j.Attempt); err == nil && progress != last {
+			_, _ = fmt.Fprintf(os.Stderr, "%6.1fs %s: %s\n", time.Since(began).Seconds(), id, progress)
+			last = progress
+		}
+		if j.Phase == scheduler.PhaseEnded.String() {
+			return j, nil
+		}
+		select {
+		case <-ctx.Done():
+			return j, fmt.Errorf("wait for job %s: %w", id, ctx.Err())
+		case <-time.After(jobPoll):
+		}
+	}
+}
+
+func showJob(ctx context.Context, c *cli.Command, api *apiClient) error {
+	id, err := argument(c, "job's id")
+	if err != nil {
+		return err
+	}
+	j, err := getJob(ctx, api, id)
+	if err != nil {
+		return err
+	}
+	return print(c, j, jobTable([]jobAnswer{j}))
+}
+
+func waitJob(ctx context.Context, c *cli.Command, api *apiClient) error {
+	id, err := argument(c, "job's id")
+	if err != nil {
+		return err
+	}
+	j, err := awaitEnd(ctx, api, id)
+	if err != nil {
+		return err
+	}
+	return reportJobs(c, []jobAnswer{j})
+}
+
+func listJobs(ctx context.Context, c *cli.Command, api *apiClient) error {
+	var jobs []jobAnswer
+	if err := api.get(ctx, "/v1/jobs?workspace="+c.String("workspace"), &jobs); err != nil {
+		return err
+	}
+	return print(c, jobs, jobTable(jobs))
+}
+
+func cancelJobs(ctx context.Context, c *cli.Command, api *apiClient) error {
+	ids := c.Args().Slice()
+	if len(ids) == 0 {
+		return usageError("want the ids of the jobs to cancel")
+	}
+	var a registrar.Answer
+	if err := api.change(ctx, http.MethodPost, "/v1/jobs/cancel", nil, operator.Cancellation{Jobs: ids}, &a); err != nil {
+		return err
+	}
+	t := &table{header: []string{"CANCELLED"}}
+	for _, id := range ids {
+		t.add(id)
+	}
+	return print(c, a, t)
+}
--- /dev/null
+++ b/internal/configurer/table.go
@@ -0,0 +1,271 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Role is a part that a daemon process plays.
+type Role string
+
+// The roles of a daemon process.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+	RoleAgent   Role = "agent"
+)
+
+// Settings is what a daemon process was started with, checked.
+type Settings struct {
+	Roles            []Role
+	Name             string
+	Zone             string
+	DataDir          string
+	ControlAddress   string
+	ControlSeats     []string
+	EntryAddress     string
+	HTTPAddress      string
+	AgentAddress     string
+	Entries          []string
+	TokenFile        string
+	DrainTime        time.Duration
+	BalancerInterval time.Duration
+	Election         time.Duration
+	Heartbeat        time.Duration
+	SnapshotEvery    uint64
+	LogFile          string
+}
+
+// Has reports whether the process plays a role.
+func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Setting is one row of the table.
+type Setting struct {
+	Name    string // of the flag; the environment variable is LAGOONMILL_ and the name in capitals
+	Default string
+	Roles   []Role // that need it; empty for all
+	Form    string // what is accepted
+	Help    string
+	set     func(*Settings, string) error
+}
+
+// Env returns the setting's environment variable.
+func (s Setting) Env() string {
+	return "LAGOONMILL_" + strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
+}
+
+const (
+	formAddress   = "IP:PORT, such as 127.0.0.1:7001"
+	formAddresses = "IP:PORT, several separated by commas"
+	formSpan      = "a span such as 500ms, 5s or 1m"
+	formName      = "letters, digits, dots and hyphens, at most 64"
+)
+
+// Table returns every setting of the daemon.
+func Table() []Setting {
+	both := []Role{RoleControl, RoleEntry}
+	return []Setting{
+		{"roles", "", nil, "control, entry, agent, several separated by commas", "The roles that the process plays.", setRoles},
+		{"name", "", nil, formName, "The name of the host; unique among entries, and among agents.", named(func(s *Settings) *string { return &s.Name })},
+		{"availability-zone", "", nil, formName, "The availability zone that the process runs in.", named(func(s *Settings) *string { return &s.Zone })},
+		{"data-dir", "", []Role{RoleControl}, "a folder that exists or can be made, on a disk that lasts", "Where the control role keeps the log and snapshots.", setDataDir},
+		{"control-address", "", []Role{RoleControl}, formAddress, "Where this control replica listens for replicas and entries.", address(func(s *Settings) *string { return &s.ControlAddress })},
+		{"control-seats", "", both, formAddresses, "The control addresses of all control replicas.", addresses(func(s *Settings) *[]string { return &s.ControlSeats })},
+		{"entry-address", "", []Role{RoleEntry}, formAddress, "Where this entry listens for agents.", address(func(s *Settings) *string { return &s.EntryAddress })},
+		{"http-address", "", []Role{RoleEntry}, formAddress, "Where this entry listens for callers, operators and the balancer.", address(func(s *Settings) *string { return &s.HTTPAddress })},
+		{"agent-address", "", []Role{RoleAgent}, formAddress, "Where this agent listens for entries and for what runs beside it.", address(func(s *Settings) *string { return &s.AgentAddress })},
+		{"entries", "", []Role{RoleAgent}, formAddresses, "The entry addresses that this agent may attach to.", addresses(func(s *Settings) *[]string { return &s.Entries })},
+		{"token-file", "", []Role{RoleEntry}, "a readable file of lines 'operator NAME TOKEN' or 'workspace NAME TOKEN'", "Who may call.", setTokenFile},
+		{"drain-time", "30s", nil, formSpan, "The longest wait for what is in flight at a planned stop.", span(func(s *Settings) *time.Duration { return &s.DrainTime })},
+		{"balancer-interval", "2s", []Role{RoleEntry}, formSpan, "How long an entry that stops still accepts, until the balancer has noticed.", span(func(s *Settings) *time.Duration { return &s.BalancerInterval })},
+		{"election-time", "400ms", []Role{RoleControl}, formSpan, "The shortest silence of the leader before an election.", span(func(s *Settings) *time.Duration { return &s.Election })},
+		{"heartbeat-time", "60ms", []Role{RoleControl}, formSpan, "The time between the leader's heartbeats; less than a third of election-time.", span(func(s *Settings) *time.Duration { return &s.Heartbeat })},
+		{"snapshot-every", "20000", []Role{RoleControl}, "a whole number from 100 to 10000000", "Log entries between two snapshots.", setSnapshotEvery},
+		{"log-file", "-", nil, "a file that can be appended to, or - for standard error", "Where events are logged.", setLogFile},
+	}
+}
+
+// A SettingError names a setting that cannot be used, and the accepted form.
+type SettingError struct {
+	Setting Setting
+	Value   string
+	Cause   error
+}
+
+// Error names the flag, the environment variable, the value and the accepted form.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting --%s (%s): %v; want %s", e.Setting.Name, e.Setting.Env(), e.Cause, e.Setting.Form)
+}
+
+// Unwrap returns the cause.
+func (e *SettingError) Unwrap() error { return e.Cause }
+
+// Check makes settings of values by flag name. The first setting that is wrong, in the table's order, is returned as
+// a SettingError.
+func Check(value func(name string) string) (Settings, error) {
+	var s Settings
+	for _, row := range Table() {
+		v := value(row.Name)
+		if v == "" {
+			v = row.Default
+		}
+		if v == "" && !s.needs(row) {
+			continue
+		}
+		if v == "" {
+			return s, &SettingError{row, v, errors.New("missing")}
+		}
+		if err := row.set(&s, v); err != nil {
+			return s, &SettingError{row, v, err}
+		}
+	}
+	return s, s.checkTogether()
+}
+
+func (s Settings) needs(row Setting) bool {
+	return len(row.Roles) == 0 || slices.ContainsFunc(row.Roles, s.Has)
+}
+
+func (s Settings) checkTogether() error {
+	const leastHeartbeats = 3
+	if s.Heartbeat*leastHeartbeats > s.Election {
+		return &SettingError{find("heartbeat-time"), s.Heartbeat.String(), fmt.Errorf("got %v with election-time %v", s.Heartbeat, s.Election)}
+	}
+	if s.Has(RoleControl) && !slices.Contains(s.ControlSeats, s.ControlAddress) {
+		return &SettingError{find("control-seats"), strings.Join(s.ControlSeats, ","), fmt.Errorf("control-address %s is not among them", s.ControlAddress)}
+	}
+	return nil
+}
+
+func find(name string) Setting {
+	table := Table()
+	return table[slices.IndexFunc(table, func(s Setting) bool { return s.Name == name })]
+}
+
+func setRoles(s *Settings, v string) error {
+	for _, part := range strings.Split(v, ",") {
+		r := Role(strings.TrimSpace(part))
+		if r != RoleControl && r != RoleEntry && r != RoleAgent {
+			return fmt.Errorf("unknown role %q", part)
+		}
+		if s.Has(r) {
+			return fmt.Errorf("role %q twice", part)
+		}
+		s.Roles = append(s.Roles, r)
+	}
+	return nil
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9.-]{1,64}$`)
+
+func named(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if !namePattern.MatchString(v) {
+			return fmt.Errorf("got %q", v)
+		}
+		*field(s) = v
+		return nil
+	}
+}
+
+func checkAddress(v string) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("got %q", v)
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return fmt.Errorf("got %q, whose host is no IP number", v)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return fmt.Errorf("got %q, whose port is not from 1 to 65535", v)
+	}
+	return nil
+}
+
+func address(field func(*Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if err := checkAddress(v); err != nil {
+			return err
+		}
+		*field(s) = v
+		return nil
+	}
+}
+
+func addresses(field func(*Settings) *[]string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		for _, part := range strings.Split(v, ",") {
+			part = strings.TrimSpace(part)
+			if err := checkAddress(part); err != nil {
+				return err
+			}
+			*field(s) = append(*field(s), part)
+		}
+		return nil
+	}
+}
+
+func span(field func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil || d < time.Millisecond {
+			return fmt.Errorf("got %q", v)
+		}
+		*field(s) = d
+		return nil
+	}
+}
+
+func setDataDir(s *Settings, v string) error {
+	info, err := os.Stat(v)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		if parent, err := os.Stat(filepath.Dir(v)); err != nil || !parent.IsDir() {
+			return fmt.Errorf("%s does not exist and cannot be made", v)
+		}
+	case err != nil:
+		return fmt.Errorf("look at %s: %w", v, err)
+	case !info.IsDir():
+		return fmt.Errorf("%s is no folder", v)
+	}
+	s.DataDir = v
+	return nil
+}
+
+func setTokenFile(s *Settings, v string) error {
+	file, err := os.Open(v)
+	if err != nil {
+		return fmt.Errorf("open file: %w", err)
+	}
+	s.TokenFile = v
+	return file.Close()
+}
+
+func setSnapshotEvery(s *Settings, v string) error {
+	const least, most = 100, 10_000_000
+	n, err := strconv.ParseUint(v, 10, 64)
+	if err != nil || n < least || n > most {
+		return fmt.Errorf("got %q", v)
+	}
+	s.SnapshotEvery = n
+	return nil
+}
+
+func setLogFile(s *Settings, v string) error {
+	if v != "-" {
+		if info, err := os.Stat(filepath.Dir(v)); err != nil || !info.IsDir() {
+			return fmt.Errorf("the folder of %s does not exist", v)
+		}
+	}
+	s.LogFile = v
+	return nil
+}
--- /dev/null
+++ b/internal/controller/liveness.go
@@ -0,0 +1,167 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// Liveness is what a leader knows of entries and agents since it took over. It holds no lock and reads no clock:
+// its owner guards it and passes the time, from a monotonic clock.
+//
+// Invariant: whatever an earlier leader granted has ended by the time anything is declared lost, since silence is
+// counted from the takeover at the earliest.
+type Liveness struct {
+	since   timekeeper.Millis // takeover
+	entries map[string]*entryRecord
+	heard   map[string]timekeeper.Millis // agent to when its last round was reported
+}
+
+type entryRecord struct {
+	incarnation string
+	heard       timekeeper.Millis
+	serial      uint64
+	agents      map[string]string // attached agents and their incarnations
+	missed      []string
+	acked       uint64
+	leaving     bool
+}
+
+// NewLiveness returns the knowledge of a leader that takes over now.
+func NewLiveness(now timekeeper.Millis) *Liveness {
+	return &Liveness{since: now, entries: map[string]*entryRecord{}, heard: map[string]timekeeper.Millis{}}
+}
+
+func owner(entry, incarnation string) string { return entry + "/" + incarnation }
+
+// Round takes an entry's report and returns what it is granted.
+func (l *Liveness) Round(now timekeeper.Millis, r RoundRequest, s registrar.State) RoundResponse {
+	rec := l.entries[r.Entry]
+	if rec == nil || rec.incarnation != r.Incarnation {
+		rec = &entryRecord{incarnation: r.Incarnation, agents: map[string]string{}}
+		l.entries[r.Entry] = rec
+		if !r.Whole {
+			rec.heard = now
+			return RoundResponse{Serial: r.Serial, NeedWhole: true}
+		}
+	}
+	if r.Serial <= rec.serial {
+		return RoundResponse{Serial: r.Serial, NeedWhole: true} // late or twice: it may undo a newer report
+	}
+	if !r.Whole && r.Serial != rec.serial+1 {
+		return RoundResponse{Serial: r.Serial, NeedWhole: true}
+	}
+	rec.take(now, r)
+	for id := range rec.agents {
+		if !slices.Contains(rec.missed, id) {
+			l.heard[id] = now
+		}
+	}
+	return RoundResponse{Serial: r.Serial, Suspects: l.suspects(now, s), InForce: s.InForce}
+}
+
+func (rec *entryRecord) take(now timekeeper.Millis, r RoundRequest) {
+	rec.heard, rec.serial, rec.acked, rec.leaving = now, r.Serial, r.Acked, r.Leaving
+	rec.missed = r.Missed
+	if r.Whole {
+		rec.agents = map[string]string{}
+	}
+	for _, a := range r.Joined {
+		rec.agents[a.ID] = a.Incarnation
+	}
+	for _, id := range r.Left {
+		delete(rec.agents, id)
+	}
+}
+
+// suspects returns the known agents that no entry heard in its last round.
+func (l *Liveness) suspects(now timekeeper.Millis, s registrar.State) []string {
+	const roundsAllowed = 2
+	var found []string
+	for _, a := range s.Agents() {
+		if heard, ok := l.heard[a.ID]; !ok || now-heard >= roundsAllowed*RoundInterval {
+			found = append(found, a.ID)
+		}
+	}
+	return found
+}
+
+// Due returns the commands that silence and acknowledgements call for.
+func (l *Liveness) Due(now timekeeper.Millis, s registrar.State) []registrar.Command {
+	var commands []registrar.Command
+	for _, a := range s.Agents() {
+		if now-max(l.heard[a.ID], l.since) > AgentLease+LeaseMargin {
+			commands = append(commands, registrar.Command{Detach: &registrar.Detach{Agent: a.ID, Incarnation: a.Incarnation}})
+		}
+	}
+	commands = append(commands, l.ownersGone(now, s)...)
+	if l.holdersAcked(now, s.Revision) && s.InForce < s.Revision {
+		commands = append(commands, registrar.Command{InForce: &registrar.InForce{Revision: s.Revision}})
+	}
+	return commands
+}
+
+func (l *Liveness) settled(now timekeeper.Millis) bool { return now-l.since > EntryLease+LeaseMargin }
+
+func (l *Liveness) alive(now timekeeper.Millis, rec *entryRecord) bool {
+	return now-rec.heard <= EntryLease+LeaseMargin
+}
+
+// ownersGone names entry processes with unsettled requests that were started anew or whose lease has ended.
+func (l *Liveness) ownersGone(now timekeeper.Millis, s registrar.State) []registrar.Command {
+	live := map[string]bool{}
+	started := map[string]bool{}
+	for name, rec := range l.entries {
+		live[owner(name, rec.incarnation)] = l.alive(now, rec)
+		started[name] = true
+	}
+	var commands []registrar.Command
+	for _, o := range s.UnsettledOwners() {
+		name, _, _ := cutOwner(o)
+		if live[o] || !started[name] && !l.settled(now) {
+			continue
+		}
+		if s.HasClaimed(o) {
+			commands = append(commands, registrar.Command{Owner: &registrar.OwnerGone{Owner: o}})
+		}
+	}
+	return commands
+}
+
+func cutOwner(o string) (entry, incarnation string, ok bool) {
+	for i := len(o) - 1; i >= 0; i-- {
+		if o[i] == '/' {
+			return o[:i], o[i+1:], true
+		}
+	}
+	return o, "", false
+}
+
+// holdersAcked reports whether every holder that may still hold a lease has acknowledged a revision.
+func (l *Liveness) holdersAcked(now timekeeper.Millis, revision uint64) bool {
+	if !l.settled(now) {
+		return false
+	}
+	for name, rec := range l.entries {
+		if !l.alive(now, rec) {
+			delete(l.entries, name)
+			continue
+		}
+		if rec.acked < revision && !rec.leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// Entries returns the entries heard of, by name.
+func (l *Liveness) Entries(now timekeeper.Millis) []EntryStatus {
+	var list []EntryStatus
+	for _, name := range slices.Sorted(maps.Keys(l.entries)) {
+		rec := l.entries[name]
+		list = append(list, EntryStatus{name, now - rec.heard, len(rec.agents), rec.acked})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/controller/membership.go
@@ -0,0 +1,188 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/messenger"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+)
+
+const (
+	helloTimeout  = time.Second
+	joinPause     = 300 * time.Millisecond
+	changeTimeout = 3 * time.Second
+)
+
+var errNoSeat = errors.New("no seat for this address; an operator adds one with 'cluster add'")
+
+// join adds a new replica as a learner. Whoever lived at its address before is replaced once it has caught up.
+func (s *Server) join(ctx context.Context, r *JoinRequest) (*JoinResponse, error) {
+	err := s.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
+		if _, member := m.Member(r.ID); member {
+			return m, errAlreadyMember
+		}
+		if !slices.Contains(m.Seats, r.Address) {
+			return m, errNoSeat
+		}
+		return withoutLearnersAt(m, r.Address).WithMember(replicator.Member{ID: r.ID, Address: r.Address}), nil
+	})
+	response := &JoinResponse{Standing: s.standing()}
+	switch {
+	case err == nil:
+		s.log.Log(logger.MemberAdded, logger.F("address", r.Address), logger.F("replica", uint64(r.ID)))
+	case errors.Is(err, errAlreadyMember):
+	case errors.Is(err, replicator.ErrNotLeader):
+		response.Standing.NotLeader = true
+	default:
+		response.Refused = err.Error()
+	}
+	return response, nil
+}
+
+var errAlreadyMember = errors.New("already a member")
+
+func withoutLearnersAt(m replicator.Membership, address string) replicator.Membership {
+	for _, o := range m.Members {
+		if o.Address == address && !o.Voter {
+			m = m.WithoutMember(o.ID)
+		}
+	}
+	return m
+}
+
+// seat changes the addresses at which replicas may join; removing one removes the replica that lives there.
+func (s *Server) seat(ctx context.Context, r *SeatRequest) (*JoinResponse, error) {
+	if r.Remove && r.Address == s.address {
+		s.node.Transfer(ctx)
+		return &JoinResponse{Standing: Standing{NotLeader: true}}, nil
+	}
+	err := s.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
+		if !r.Remove {
+			return m.WithSeat(r.Address), nil
+		}
+		m = m.WithoutSeat(r.Address)
+		if o, ok := m.At(r.Address); ok {
+			m = m.WithoutMember(o.ID)
+		}
+		return m, nil
+	})
+	response := &JoinResponse{Standing: s.standing()}
+	if errors.Is(err, replicator.ErrNotLeader) {
+		response.Standing.NotLeader = true
+	} else if err != nil {
+		response.Refused = err.Error()
+	}
+	return response, nil
+}
+
+// mendMembership makes one change that brings the voters in line with the replicas that live.
+func (s *Server) mendMembership(ctx context.Context, promotable []replicator.Member) {
+	if len(promotable) == 0 {
+		return
+	}
+	learner := promotable[0]
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	event := logger.MemberPromoted
+	err := s.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
+		next, removed := promote(m, learner)
+		if removed {
+			event = logger.MemberRemoved
+		}
+		return next, nil
+	})
+	if err != nil {
+		s.log.Log(logger.MembershipFailed, logger.F("address", learner.Address), logger.F("error", err))
+		return
+	}
+	s.log.Log(event, logger.F("address", learner.Address))
+}
+
+// promote gives a learner that has caught up its vote. A voter of an earlier identity at the same address goes
+// first, in a change of its own: its disk is lost, so that it can never vote again.
+func promote(m replicator.Membership, learner replicator.Member) (next replicator.Membership, removed bool) {
+	for _, o := range m.Members {
+		if o.Address == learner.Address && o.ID != learner.ID {
+			return m.WithoutMember(o.ID), true
+		}
+	}
+	learner.Voter = true
+	return m.WithMember(learner), false
+}
+
+// Enrol makes a replica with an empty data folder part of a cluster: it joins the one that others belong to, or
+// bootstraps a new one if every seat is empty and this is the lowest address. It returns at once for a replica
+// that has a past.
+func (s *Server) Enrol(ctx context.Context, seats []string, bootstrap func()) error {
+	if len(s.node.Status().Members.Members) > 0 {
+		return nil
+	}
+	for {
+		cluster, empty := s.probe(ctx, seats)
+		switch {
+		case cluster != "":
+			if s.askToJoin(ctx, cluster) {
+				return nil
+			}
+		case empty && s.address == slices.Min(seats):
+			bootstrap()
+			s.log.Log(logger.ClusterBootstrapped, logger.F("seats", seats))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("enrol replica: %w", ctx.Err())
+		case <-time.After(joinPause):
+		}
+		if len(s.node.Status().Members.Members) > 0 {
+			return nil // a leader added this replica already
+		}
+	}
+}
+
+// probe asks the other seats; it returns one that belongs to a cluster, and whether all others are empty.
+func (s *Server) probe(ctx context.Context, seats []string) (cluster string, empty bool) {
+	empty = true
+	for _, seat := range seats {
+		if seat == s.address {
+			continue
+		}
+		answer, err := callOnce[HelloRequest, HelloResponse](ctx, seat, methodHello, &HelloRequest{})
+		if err != nil {
+			empty = false
+			continue
+		}
+		if answer.HasCluster {
+			return seat, false
+		}
+	}
+	return "", empty
+}
+
+func (s *Server) askToJoin(ctx context.Context, seat string) bool {
+	s.log.Log(logger.ReplicaJoining, logger.F("through", seat))
+	r := &JoinRequest{ID: s.node.ID(), Address: s.address}
+	answer, err := callOnce[JoinRequest, JoinResponse](ctx, seat, methodJoin, r)
+	if err == nil && answer.Standing.NotLeader && answer.Standing.Leader != "" {
+		answer, err = callOnce[JoinRequest, JoinResponse](ctx, answer.Standing.Leader, methodJoin, r)
+	}
+	return err == nil && !answer.Standing.NotLeader && answer.Refused == ""
+}
+
+// callOnce calls another control process on a connection of its own.
+func callOnce[Req, Resp any](ctx context.Context, address, method string, r *Req) (*Resp, error) {
+	conn, err := messenger.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	return encoder.Call[Req, Resp](ctx, conn, "/"+serviceName+"/"+method, r)
+}
--- /dev/null
+++ b/internal/controller/server.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	proposeTimeout = 5 * time.Second
+	// freshView is the age up to which a replica's view of its own leadership counts; a process that was frozen
+	// must not grant leases on what it believed before.
+	freshView     = 250 * timekeeper.Millis(1)
+	snapshotChunk = 256 << 10
+)
+
+// Server is the control role of one process. mu guards the leader's knowledge.
+type Server struct {
+	node    *replicator.Node
+	machine *registrar.Machine
+	clock   timekeeper.Clock
+	wall    timekeeper.Clock
+	log     logger.Logger
+	address string
+
+	mu       sync.Mutex
+	term     uint64 // of liveness; zero while this replica does not lead
+	liveness *Liveness
+	epoch    timekeeper.Millis // wall clock at takeover, never before the state's time
+	taken    timekeeper.Millis // monotonic clock at takeover
+}
+
+// NewServer returns the control role around a running node; address is where other processes reach it.
+func NewServer(node *replicator.Node, machine *registrar.Machine, address string, log logger.Logger) *Server {
+	return &Server{
+		node: node, machine: machine, address: address, log: log,
+		clock: timekeeper.Monotonic{}, wall: timekeeper.Wall{},
+	}
+}
+
+// Register adds the control service to a gRPC server that uses encoder.Codec.
+func (s *Server) Register(server *grpc.Server) {
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{
+			encoder.Unary(methodPropose, s.propose),
+			encoder.Unary(methodRound, s.round),
+			encoder.Unary(methodRead, s.read),
+			encoder.Unary(methodHello, s.hello),
+			encoder.Unary(methodJoin, s.join),
+			encoder.Unary(methodSeat, s.seat),
+			encoder.Unary(methodStatus, s.status),
+		},
+		Streams: []grpc.StreamDesc{encoder.Stream(methodFollow, s.follow)},
+	}, s)
+}
+
+func (s *Server) standing() Standing {
+	status := s.node.Status()
+	standing := Standing{Term: status.Term, NotLeader: status.Role != replicator.Leader}
+	if m, ok := status.Members.Member(status.Leader); ok {
+		standing.Leader = m.Address
+	}
+	return standing
+}
+
+// lead returns the leader's knowledge, made anew at each takeover. The caller holds mu.
+func (s *Server) lead() (*Liveness, bool) {
+	status := s.node.Status()
+	if status.Role != replicator.Leader {
+		s.term, s.liveness = 0, nil
+		return nil, false
+	}
+	if s.term != status.Term {
+		now := s.clock.Now()
+		s.term, s.liveness, s.taken = status.Term, NewLiveness(now), now
+		s.epoch = max(s.wall.Now(), s.machine.State().Now)
+	}
+	return s.liveness, true
+}
+
+// now is the log's time: the wall clock at takeover plus what has passed since, so that a clock that jumps later
+// moves nothing. The caller holds mu.
+func (s *Server) now() timekeeper.Millis { return s.epoch + s.clock.Now() - s.taken }
+
+func (s *Server) propose(ctx context.Context, r *ProposeRequest) (*ProposeResponse, error) {
+	var command registrar.Command
+	if err := encoder.Unmarshal(r.Command, &command); err != nil {
+		return nil, fmt.Errorf("read command: %w", err)
+	}
+	return s.submit(ctx, command)
+}
+
+// submit stamps a command and puts it on the log.
+func (s *Server) submit(ctx context.Context, command registrar.Command) (*ProposeResponse, error) {
+	s.mu.Lock()
+	_, leads := s.lead()
+	command.At, command.Version = s.now(), registrar.Version
+	s.mu.Unlock()
+	response := &ProposeResponse{Standing: s.standing()}
+	if !leads {
+		response.Standing.NotLeader = true
+		return response, nil
+	}
+	data, err := encoder.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := s.node.Propose(ctx, data)
+	switch {
+	case err == nil:
+		response.Answer = answer.(registrar.Answer)
+	case errors.Is(err, replicator.ErrNotLeader):
+		response.Standing = s.standing()
+		response.Standing.NotLeader = true
+	case errors.Is(err, replicator.ErrOverloaded):
+		response.Overload = true
+	default:
+		response.Uncertain = true
+	}
+	return response, nil
+}
+
+func (s *Server) round(_ context.Context, r *RoundRequest) (*RoundResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	liveness, leads := s.lead()
+	standing := s.standing()
+	if !leads || !s.fresh() || standing.Term < r.Term {
+		standing.NotLeader = true
+		return &RoundResponse{Standing: standing, Serial: r.Serial}, nil
+	}
+	response := liveness.Round(s.clock.Now(), *r, s.machine.State())
+	response.Standing, response.Commit = standing, s.node.Status().Commit
+	return &response, nil
+}
+
+func (s *Server) fresh() bool { return s.clock.Now()-s.node.TickedAt() < freshView }
+
+func (s *Server) read(ctx context.Context, _ *ReadRequest) (*ReadResponse, error) {
+	index, err := s.node.Read(ctx)
+	response := &ReadResponse{Standing: s.standing(), Index: index}
+	if err != nil {
+		response.Standing.NotLeader = true
+	}
+	return response, nil
+}
+
+func (s *Server) hello(context.Context, *HelloRequest) (*HelloResponse, error) {
+	return &HelloResponse{ID: s.node.ID(), HasCluster: len(s.node.Status().Members.Members) > 0}, nil
+}
+
+// follow streams the committed log to an observer; any replica can serve it, which keeps this traffic off the
+// leader.
+func (s *Server) follow(stream grpc.ServerStream) error {
+	var r FollowRequest
+	if err := stream.RecvMsg(&r); err != nil {
+		return fmt.Errorf("read follow request: %w", err)
+	}
+	for {
+		entries, snapshot, changed := s.node.Committed(r.After)
+		switch {
+		case snapshot != nil:
+			if err := sendSnapshot(stream, snapshot.Index, snapshot.Data); err != nil {
+				return err
+			}
+			r.After = snapshot.Index
+		case len(entries) > 0:
+			if err := stream.SendMsg(&FollowItem{Entries: entries}); err != nil {
+				return fmt.Errorf("send entries: %w", err)
+			}
+			r.After = entries[len(entries)-1].Index
+		default:
+			select {
+			case <-changed:
+			case <-stream.Context().Done():
+				return stream.Context().Err()
+			case <-s.node.Done():
+				return replicator.ErrStopped
+			}
+		}
+	}
+}
+
+func sendSnapshot(stream grpc.ServerStream, index uint64, data []byte) error {
+	for {
+		n := min(len(data), snapshotChunk)
+		item := &FollowItem{SnapshotIndex: index, Snapshot: data[:n], SnapshotLast: n == len(data)}
+		if err := stream.SendMsg(item); err != nil {
+			return fmt.Errorf("send snapshot: %w", err)
+		}
+		if item.SnapshotLast {
+			return nil
+		}
+		data = data[n:]
+	}
+}
+
+func (s *Server) status(context.Context, *StatusRequest) (*StatusResponse, error) {
+	status := s.node.Status()
+	response := &StatusResponse{
+		Standing: s.standing(), Self: s.address, Role: status.Role.String(), Commit: status.Commit, Last: status.Last,
+		Members: status.Members.Members, Seats: status.Members.Seats,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if liveness, leads := s.lead(); leads {
+		response.Entries = liveness.Entries(s.clock.Now())
+	}
+	return response, nil
+}
--- /dev/null
+++ b/internal/launcher/agent.go
@@ -0,0 +1,55 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/lagoonmill/lagoonmill/internal/agent"
+	"github.com/lagoonmill/lagoonmill/internal/balancer"
+	"github.com/lagoonmill/lagoonmill/internal/configurer"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+)
+
+// agentRole is the agent role of the process.
+type agentRole struct {
+	settings configurer.Settings
+	log      logger.Logger
+	group    *group
+	agent    *agent.Agent
+	http     *http.Server
+}
+
+func (a *agentRole) start(context.Context) error {
+	listener, err := net.Listen("tcp", a.settings.AgentAddress)
+	if err != nil {
+		return fmt.Errorf("listen for entries: %w", err)
+	}
+	a.agent = agent.New(agent.Config{
+		ID: a.settings.Name, Address: a.settings.AgentAddress, Zone: a.settings.Zone, Entries: a.settings.Entries,
+		Drain: a.settings.DrainTime,
+	}, a.log)
+	routes := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	balancer.Register(routes, func() error { return nil })
+	a.agent.Gate().Register(routes)
+	a.http = &http.Server{Handler: routes, ReadHeaderTimeout: readHeaderTimeout}
+	a.group.run("agent", a.agent.Run)
+	a.group.run("request server", func(context.Context) error { return serveHTTP(a.http, listener) })
+	return nil
+}
+
+// stop refuses new requests, drains the worker, and ends when nothing is in flight.
+func (a *agentRole) stop(ctx context.Context) error {
+	a.agent.Leave(ctx)
+	drain, cancel := context.WithTimeout(ctx, a.settings.DrainTime)
+	defer cancel()
+	err := a.http.Shutdown(drain)
+	a.group.stop()
+	if err != nil {
+		return fmt.Errorf("requests were still in flight after the drain time: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/launcher/control.go
@@ -0,0 +1,105 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/configurer"
+	"github.com/lagoonmill/lagoonmill/internal/controller"
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/messenger"
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// control is the control role of the process.
+type control struct {
+	settings configurer.Settings
+	log      logger.Logger
+	group    *group
+	journal  *journaler.Journal
+	node     *replicator.Node
+	server   *controller.Server
+	grpc     *grpc.Server
+	sender   *messenger.Messenger
+}
+
+func (c *control) start(context.Context) error {
+	journal, err := journaler.Open(c.settings.DataDir)
+	if err != nil {
+		c.log.Log(logger.ReplicaFailed, logger.F("error", err))
+		return fmt.Errorf("open journal: %w", err)
+	}
+	c.journal = journal
+	machine := registrar.NewMachine(nil)
+	receive := func(m replicator.Message) { c.node.Receive(m) }
+	c.sender = messenger.New(c.group.ctx, c.settings.ControlAddress, receive)
+	c.node, err = replicator.NewNode(replicator.NodeConfig{
+		Journal: journal, Machine: machine, Transport: c.sender, Clock: timekeeper.Monotonic{},
+		Timing: replicator.Timing{
+			Election:  timekeeper.FromDuration(c.settings.Election),
+			Heartbeat: timekeeper.FromDuration(c.settings.Heartbeat),
+		},
+		Seed: rand.Uint64(), SnapshotEvery: c.settings.SnapshotEvery,
+	})
+	if err != nil {
+		return fmt.Errorf("restore replica: %w", err)
+	}
+	c.server = controller.NewServer(c.node, machine, c.settings.ControlAddress, c.log)
+	listener, err := net.Listen("tcp", c.settings.ControlAddress)
+	if err != nil {
+		return fmt.Errorf("listen for control: %w", err)
+	}
+	c.grpc = newGRPC()
+	c.server.Register(c.grpc)
+	c.sender.Register(c.grpc)
+	c.group.run("replica", c.runNode)
+	c.group.run("control server", func(context.Context) error { return serveGRPC(c.grpc, listener) })
+	c.group.run("overseer", c.server.Oversee)
+	c.group.run("enrolment", func(ctx context.Context) error {
+		err := c.server.Enrol(ctx, c.settings.ControlSeats, func() {
+			c.node.Bootstrap(c.settings.ControlAddress, c.settings.ControlSeats)
+		})
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	return nil
+}
+
+func (c *control) runNode(ctx context.Context) error {
+	err := c.node.Run(ctx)
+	if err != nil {
+		c.log.Log(logger.ReplicaFailed, logger.F("error", err))
+	}
+	return err
+}
+
+// stop hands leadership over, then ends the replica.
+func (c *control) stop(ctx context.Context) error {
+	c.server.HandOver(ctx)
+	c.group.stop(c.grpc.Stop)
+	c.sender.Wait()
+	return c.journal.Close()
+}
+
+func newGRPC() *grpc.Server {
+	const maxMessage = 16 << 20
+	return grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.MaxRecvMsgSize(maxMessage))
+}
+
+func serveGRPC(server *grpc.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/launcher/entry.go
@@ -0,0 +1,243 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/authenticator"
+	"github.com/lagoonmill/lagoonmill/internal/balancer"
+	"github.com/lagoonmill/lagoonmill/internal/caller"
+	"github.com/lagoonmill/lagoonmill/internal/configurer"
+	"github.com/lagoonmill/lagoonmill/internal/controller"
+	"github.com/lagoonmill/lagoonmill/internal/distributor"
+	"github.com/lagoonmill/lagoonmill/internal/holder"
+	"github.com/lagoonmill/lagoonmill/internal/limiter"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/meter"
+	"github.com/lagoonmill/lagoonmill/internal/operator"
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/router"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	gaugeInterval     = time.Second
+	leaveWait         = 500 * time.Millisecond
+	confirmPause      = 100 * time.Millisecond
+)
+
+// entry is the entry role of the process.
+type entry struct {
+	settings configurer.Settings
+	log      logger.Logger
+	group    *group
+
+	client   *controller.Client
+	machine  *registrar.Machine
+	follower *distributor.Follower
+	hub      *distributor.Hub
+	rounds   *distributor.Rounds
+	holder   *holder.Holder
+	router   *router.Router
+	limiter  *limiter.Limiter
+	handler  *caller.Handler
+	meter    meter.Meter
+	meterEnd io.Closer
+	http     *http.Server
+	grpc     *grpc.Server
+	wasReady bool
+}
+
+func (e *entry) start(context.Context) error {
+	tokens, err := authenticator.Load(e.settings.TokenFile)
+	if err != nil {
+		return fmt.Errorf("load tokens: %w", err)
+	}
+	e.log.Log(logger.SettingsReread, logger.F("tokens", tokens.Len()))
+	e.build(tokens)
+	agents, err := net.Listen("tcp", e.settings.EntryAddress)
+	if err != nil {
+		return fmt.Errorf("listen for agents: %w", err)
+	}
+	callers, err := net.Listen("tcp", e.settings.HTTPAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	e.group.run("log follower", e.follower.Run)
+	e.group.run("confirmation", e.confirm)
+	e.group.run("rounds", e.rounds.Run)
+	e.group.run("reports", e.hub.Report)
+	e.group.run("claims", e.handler.Claimer.Run)
+	e.group.run("settlements", e.handler.Run)
+	e.group.run("gauges", e.watch)
+	e.group.run("agent server", func(context.Context) error { return serveGRPC(e.grpc, agents) })
+	e.group.run("caller server", func(context.Context) error { return serveHTTP(e.http, callers) })
+	return nil
+}
+
+// build makes the parts and ties them together; nothing runs yet.
+func (e *entry) build(tokens authenticator.Tokens) {
+	incarnation := uuid.NewString()
+	e.client = controller.NewClient(e.settings.ControlSeats)
+	e.machine = registrar.NewMachine(e.applied)
+	e.router = router.New(e.settings.Zone, timekeeper.Monotonic{})
+	e.limiter = limiter.New(0, limiter.DefaultSettings())
+	e.hub = distributor.NewHub(e.client, e.machine, e.log)
+	e.follower = distributor.NewFollower(e.client, e.machine, e.ownSeat(), e.log)
+	e.holder = holder.New(e.machine, func() bool { return e.rounds.Leased() })
+	e.rounds = distributor.NewRounds(e.hub, e.follower, e.client, e.machine, e.settings.Name, incarnation, e.holder.Acked)
+	e.meter, e.meterEnd = meter.New(e.settings.Name)
+	e.handler = caller.NewHandler(caller.Config{
+		Owner: e.settings.Name + "/" + incarnation, Tokens: tokens, Machine: e.machine, Router: e.router,
+		Limiter: e.limiter, Claimer: caller.NewClaimer(e.client), Holder: e.holder, Log: e.log, Meter: e.meter,
+	})
+	e.grpc = newGRPC()
+	e.hub.Register(e.grpc)
+	routes := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	balancer.Register(routes, e.holder.Ready)
+	routes.Handle("/metrics", e.meter.Handler()).Methods(http.MethodGet)
+	operator.New(e.client, e.machine, tokens).Register(routes)
+	e.handler.Register(routes)
+	e.http = &http.Server{Handler: e.closeWhileDraining(routes), ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// ownSeat returns the number of the control replica in this process, or of a random one.
+func (e *entry) ownSeat() int {
+	for i, seat := range e.settings.ControlSeats {
+		if seat == e.settings.ControlAddress {
+			return i
+		}
+	}
+	return rand.IntN(len(e.settings.ControlSeats))
+}
+
+// applied passes on what a command changed; it runs on the follower's goroutine.
+func (e *entry) applied(s registrar.State, c registrar.Command, effect registrar.Effect) {
+	restored := c.Version == 0
+	if restored || effect.Agents {
+		e.router.Update(s.Agents())
+		e.limiter.SetCeiling(e.router.TotalSlots())
+	}
+	if restored || effect.Config {
+		e.limiter.Set(limitsOf(s))
+	}
+	e.hub.StateChanged(s, effect, restored)
+}
+
+func limitsOf(s registrar.State) limiter.Settings {
+	limits := s.Limits()
+	weights := map[string]int{}
+	for _, share := range s.Scheduler.Shares() {
+		weights[share.Workspace.Name] = max(share.Workspace.Accelerators(), 1) * max(share.Workspace.Weight, 1)
+	}
+	queue := [...]int{limits.QueueUrgent, limits.QueueNormal, limits.QueueBatch}
+	return limiter.DefaultSettings().WithLimits(queue).WithWeights(weights)
+}
+
+// confirm waits until the state holds what a quorum confirmed as committed after this process started.
+func (e *entry) confirm(ctx context.Context) error {
+	index, err := e.client.Read(ctx)
+	for err == nil && e.machine.State().Index < index {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(confirmPause):
+		}
+	}
+	if err == nil {
+		e.holder.Confirm()
+	}
+	return nil
+}
+
+// watch logs when the entry begins and ends to serve, and keeps the gauges.
+func (e *entry) watch(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		e.logReadiness(e.holder.Ready())
+		s := e.machine.State()
+		e.meter.Gauge("requests_in_flight", float64(e.handler.InFlight()))
+		e.meter.Gauge("request_limit", float64(e.limiter.Limit()))
+		e.meter.Gauge("jobs_queued", float64(s.Scheduler.Queued()))
+		e.meter.Gauge("revision_in_force", float64(s.InForce))
+		e.meter.Gauge("request_ids", float64(s.Claims()))
+	}
+}
+
+func (e *entry) logReadiness(err error) {
+	ready := err == nil
+	if ready == e.wasReady {
+		return
+	}
+	e.wasReady = ready
+	if ready {
+		e.log.Log(logger.EntryReady, logger.F("revision", e.machine.State().Revision))
+		return
+	}
+	e.log.Log(logger.EntryNotReady, logger.F("reason", err))
+}
+
+// closeWhileDraining ends connections with their next answer once the process stops, so that none is left open when
+// the listener closes.
+func (e *entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.holder.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func serveHTTP(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// stop drains the entry: the balancer is told, what still comes is served, what is in flight ends, agents attach
+// elsewhere, and the leader is told.
+func (e *entry) stop(ctx context.Context) error {
+	e.holder.Drain()
+	sleep(ctx, e.settings.BalancerInterval)
+	drain, cancel := context.WithTimeout(ctx, e.settings.DrainTime)
+	defer cancel()
+	err := e.http.Shutdown(drain)
+	for e.handler.InFlight() > 0 && drain.Err() == nil {
+		sleep(drain, confirmPause)
+	}
+	e.holder.Stop()
+	e.hub.Leave()
+	sleep(ctx, leaveWait)
+	e.group.stop(e.grpc.Stop)
+	e.client.Close()
+	_ = e.meterEnd.Close()
+	if err != nil {
+		return fmt.Errorf("requests were still in flight after the drain time: %w", err)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/registrar/request.go
@@ -0,0 +1,309 @@
+package registrar
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	// MaxAnswerBytes is the largest answer of a request that is recorded with its claim.
+	MaxAnswerBytes = 64 << 10
+	// maxAnswerTotal bounds the bytes of recorded answers; the oldest go first.
+	maxAnswerTotal = 64 << 20
+	// answerFor is how long an answer is kept; its id stays refused after that.
+	answerFor = timekeeper.Hour
+	// maxClaims bounds the ids that are remembered; with more, new ones are refused.
+	maxClaims = 250_000
+	// claimFor is how long an id is refused after its request ended.
+	claimFor = 7 * 24 * timekeeper.Hour
+)
+
+// RequestKey names a request that may run at most once: a workspace and the caller's idempotency key.
+type RequestKey struct {
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+}
+
+type requestKeyOrder struct{}
+
+func (requestKeyOrder) Compare(a, b RequestKey) int {
+	return cmp.Or(strings.Compare(a.Workspace, b.Workspace), strings.Compare(a.Key, b.Key))
+}
+
+// RequestPhase is where a claimed request is on its way.
+type RequestPhase uint8
+
+// The phases of a claimed request.
+const (
+	RequestClaimed  RequestPhase = iota // its owner may have handed it to the target
+	RequestOrphaned                     // its owner is gone; the target may have it
+	RequestFinished                     // the answer is recorded, or was until it expired
+	RequestNotRun                       // proved: no backend server was handed it
+	RequestUnknown                      // nothing proves whether it ran
+)
+
+var requestPhaseNames = []string{"claimed", "orphaned", "finished", "not-run", "unknown"}
+
+// String returns the phase's name.
+func (p RequestPhase) String() string {
+	if int(p) >= len(requestPhaseNames) {
+		return "invalid"
+	}
+	return requestPhaseNames[p]
+}
+
+// Target is the agent that a claimed request is handed to; a new incarnation knows nothing of it.
+type Target struct {
+	Agent       string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint"`
+}
+
+// RecordedAnswer is the whole answer of a finished request.
+type RecordedAnswer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+	TooLarge    bool   `cbor:"4,keyasint"` // the answer was delivered once and is not kept
+}
+
+// Request is a claimed request. It is immutable.
+//
+// Invariants: Attempt only grows, and grows only from a state that proves the last attempt was not started; a
+// finished, not-run or unknown request never changes but for the loss of an expired answer.
+type Request struct {
+	Key     RequestKey        `cbor:"1,keyasint"`
+	Digest  []byte            `cbor:"2,keyasint"` // SHA-256 of method, path and body
+	Attempt int               `cbor:"3,keyasint"`
+	Owner   string            `cbor:"4,keyasint"` // entry process
+	Target  Target            `cbor:"5,keyasint"`
+	Phase   RequestPhase      `cbor:"6,keyasint"`
+	Answer  *RecordedAnswer   `cbor:"7,keyasint"`
+	Changed timekeeper.Millis `cbor:"8,keyasint"`
+	Reason  string            `cbor:"9,keyasint"`
+	Nonce   string            `cbor:"10,keyasint"` // of the claim that holds the attempt
+}
+
+// RequestStep is one change of a claimed request. A claim names Digest, Owner and Target. With From set it takes
+// over an attempt that was proved unstarted, by compare-and-set on owner and attempt. With Phase set it ends the
+// attempt Attempt of Owner.
+type RequestStep struct {
+	Key     RequestKey      `cbor:"1,keyasint"`
+	Digest  []byte          `cbor:"2,keyasint,omitempty"`
+	Owner   string          `cbor:"3,keyasint"`
+	Target  Target          `cbor:"4,keyasint,omitempty"`
+	From    *AttemptRef     `cbor:"5,keyasint,omitempty"`
+	Attempt int             `cbor:"6,keyasint,omitempty"`
+	Phase   RequestPhase    `cbor:"7,keyasint,omitempty"`
+	Answer  *RecordedAnswer `cbor:"8,keyasint,omitempty"`
+	Reason  string          `cbor:"9,keyasint,omitempty"`
+	Nonce   string          `cbor:"10,keyasint,omitempty"` // makes a claim that is proposed again the same claim
+}
+
+// AttemptRef names an attempt by its owner and number.
+type AttemptRef struct {
+	Owner   string `cbor:"1,keyasint"`
+	Attempt int    `cbor:"2,keyasint"`
+}
+
+// RequestView is a request as a step left it; Granted tells that the step was carried out.
+type RequestView struct {
+	Granted bool    `cbor:"1,keyasint"`
+	Full    bool    `cbor:"2,keyasint,omitempty"` // refused: too many ids are remembered
+	Reused  bool    `cbor:"3,keyasint,omitempty"` // refused: the id was used with another body
+	Request Request `cbor:"4,keyasint"`
+}
+
+type agedKey struct {
+	at  timekeeper.Millis
+	key RequestKey
+}
+
+type agedOrder struct{}
+
+func (agedOrder) Compare(a, b agedKey) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), requestKeyOrder{}.Compare(a.key, b.key))
+}
+
+// claims is the table of requests. It is immutable.
+type claims struct {
+	byKey    *immutable.SortedMap[RequestKey, *Request]
+	byOwner  *immutable.SortedMap[string, *immutable.SortedMap[RequestKey, struct{}]] // unsettled ones
+	answered *immutable.SortedMap[agedKey, struct{}]                                  // with a recorded answer
+	ended    *immutable.SortedMap[agedKey, struct{}]
+	bytes    int // of recorded answers
+}
+
+func newClaims() claims {
+	return claims{
+		byKey:    immutable.NewSortedMap[RequestKey, *Request](requestKeyOrder{}),
+		byOwner:  immutable.NewSortedMap[string, *immutable.SortedMap[RequestKey, struct{}]](nil),
+		answered: immutable.NewSortedMap[agedKey, struct{}](agedOrder{}),
+		ended:    immutable.NewSortedMap[agedKey, struct{}](agedOrder{}),
+	}
+}
+
+func (c *claims) step(now timekeeper.Millis, s RequestStep) RequestView {
+	r, known := c.byKey.Get(s.Key)
+	switch {
+	case s.Phase != RequestClaimed:
+		return c.settle(now, r, s)
+	case s.From != nil:
+		return c.takeOver(now, r, s)
+	case known && string(r.Digest) != string(s.Digest):
+		return RequestView{Reused: true, Request: *r}
+	case known && r.Phase == RequestNotRun:
+		return c.claimAgain(now, r, s)
+	case known:
+		return RequestView{Granted: r.heldBy(s), Request: *r}
+	case c.byKey.Len() >= maxClaims:
+		return RequestView{Full: true}
+	}
+	next := &Request{
+		Key: s.Key, Digest: s.Digest, Attempt: 1, Owner: s.Owner, Target: s.Target, Changed: now, Nonce: s.Nonce,
+	}
+	c.put(nil, next)
+	return RequestView{Granted: true, Request: *next}
+}
+
+// heldBy reports whether the request is held by the very claim that s repeats.
+func (r *Request) heldBy(s RequestStep) bool {
+	return r.Phase == RequestClaimed && r.Owner == s.Owner && r.Nonce == s.Nonce
+}
+
+// claimAgain lets a request that was proved not to have run be tried once more.
+func (c *claims) claimAgain(now timekeeper.Millis, r *Request, s RequestStep) RequestView {
+	next := *r
+	next.Attempt++
+	next.Owner, next.Target, next.Nonce = s.Owner, s.Target, s.Nonce
+	next.Phase, next.Reason, next.Changed = RequestClaimed, "", now
+	c.put(r, &next)
+	return RequestView{Granted: true, Request: next}
+}
+
+// takeOver starts a new attempt in place of one that was proved unstarted.
+func (c *claims) takeOver(now timekeeper.Millis, r *Request, s RequestStep) RequestView {
+	if r == nil {
+		return RequestView{}
+	}
+	if r.heldBy(s) && r.Attempt == s.From.Attempt+1 {
+		return RequestView{Granted: true, Request: *r}
+	}
+	unsettled := r.Phase == RequestClaimed || r.Phase == RequestOrphaned
+	if !unsettled || r.Owner != s.From.Owner || r.Attempt != s.From.Attempt {
+		return RequestView{Request: *r}
+	}
+	next := *r
+	next.Attempt++
+	next.Owner, next.Target, next.Nonce = s.Owner, s.Target, s.Nonce
+	next.Phase, next.Changed = RequestClaimed, now
+	c.put(r, &next)
+	return RequestView{Granted: true, Request: next}
+}
+
+// settle ends an attempt; an end that another process recorded first stands.
+func (c *claims) settle(now timekeeper.Millis, r *Request, s RequestStep) RequestView {
+	if r == nil {
+		return RequestView{}
+	}
+	unsettled := r.Phase == RequestClaimed || r.Phase == RequestOrphaned
+	if !unsettled || r.Owner != s.Owner || r.Attempt != s.Attempt || r.Nonce != s.Nonce {
+		return RequestView{Request: *r}
+	}
+	next := *r
+	next.Phase, next.Answer, next.Reason, next.Changed = s.Phase, s.Answer, s.Reason, now
+	c.put(r, &next)
+	return RequestView{Granted: true, Request: next}
+}
+
+// orphan marks the unsettled claims of an owner that is gone.
+func (c *claims) orphan(now timekeeper.Millis, owner string) int {
+	set, ok := c.byOwner.Get(owner)
+	if !ok {
+		return 0
+	}
+	n := 0
+	for it := set.Iterator(); !it.Done(); {
+		key, _, _ := it.Next()
+		r, _ := c.byKey.Get(key)
+		if r.Phase != RequestClaimed {
+			continue
+		}
+		next := *r
+		next.Phase, next.Changed = RequestOrphaned, now
+		c.put(r, &next)
+		n++
+	}
+	return n
+}
+
+// put replaces old, which may be nil, and keeps the table's orders in step.
+func (c *claims) put(old, next *Request) {
+	c.unindex(old)
+	c.byKey = c.byKey.Set(next.Key, next)
+	if next.Phase == RequestClaimed || next.Phase == RequestOrphaned {
+		set, ok := c.byOwner.Get(next.Owner)
+		if !ok {
+			set = immutable.NewSortedMap[RequestKey, struct{}](requestKeyOrder{})
+		}
+		c.byOwner = c.byOwner.Set(next.Owner, set.Set(next.Key, struct{}{}))
+		return
+	}
+	c.ended = c.ended.Set(agedKey{next.Changed, next.Key}, struct{}{})
+	if next.Answer != nil {
+		c.answered = c.answered.Set(agedKey{next.Changed, next.Key}, struct{}{})
+		c.bytes += len(next.Answer.Body)
+	}
+}
+
+func (c *claims) unindex(r *Request) {
+	if r == nil {
+		return
+	}
+	if r.Phase == RequestClaimed || r.Phase == RequestOrphaned {
+		set, _ := c.byOwner.Get(r.Owner)
+		set = set.Delete(r.Key)
+		if set.Len() == 0 {
+			c.byOwner = c.byOwner.Delete(r.Owner)
+			return
+		}
+		c.byOwner = c.byOwner.Set(r.Owner, set)
+		return
+	}
+	c.ended = c.ended.Delete(agedKey{r.Changed, r.Key})
+	if r.Answer != nil {
+		c.answered = c.answered.Delete(agedKey{r.Changed, r.Key})
+		c.bytes -= len(r.Answer.Body)
+	}
+}
+
+// expire forgets answers that are too old or too many, and ids whose time is over.
+func (c *claims) expire(now timekeeper.Millis) {
+	for c.answered.Len() > 0 {
+		it := c.answered.Iterator()
+		oldest, _, _ := it.Next()
+		if c.bytes <= maxAnswerTotal && now-oldest.at < answerFor {
+			break
+		}
+		r, _ := c.byKey.Get(oldest.key)
+		next := *r
+		next.Answer = nil
+		next.Reason = fmt.Sprintf("finished; its answer was kept for %d minutes", answerFor/timekeeper.Minute)
+		c.put(r, &next)
+	}
+	for c.ended.Len() > 0 {
+		it := c.ended.Iterator()
+		oldest, _, _ := it.Next()
+		if now-oldest.at < claimFor {
+			return
+		}
+		r, _ := c.byKey.Get(oldest.key)
+		c.unindex(r)
+		c.byKey = c.byKey.Delete(oldest.key)
+	}
+}
--- /dev/null
+++ b/internal/registrar/state.go
@@ -0,0 +1,359 @@
+package registrar
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/lagoonmill/lagoonmill/internal/scheduler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	// keepAnswers is the number of command ids whose answers are kept for resends.
+	keepAnswers = 50_000
+	// keepHistory is the number of configuration changes that the history shows.
+	keepHistory = 1_000
+	// DefaultPreset is the name of the preset in force in a new cluster.
+	DefaultPreset = "ordinary"
+)
+
+// State is everything that the log decides.
+//
+// Invariants: Revision and InForce never fall, and InForce never passes Revision; exactly one preset is in force;
+// a command id is applied once. It is immutable; the state after a command shares what did not change.
+type State struct {
+	Index    uint64 // of the last entry applied
+	Now      timekeeper.Millis
+	Revision uint64 // of the configuration last accepted
+	InForce  uint64 // of the configuration that holds everywhere
+
+	Accepted string // preset last chosen
+	Current  string // preset in force
+	switched uint64 // revision of the last choice of a preset
+
+	Scheduler scheduler.State
+	presets   *immutable.SortedMap[string, Preset]
+	agents    *immutable.SortedMap[string, Agent]
+	claims    claims
+	answers   *immutable.Map[string, Answer]
+	answerLog *immutable.List[string] // command ids, oldest first
+	history   []HistoryEntry
+}
+
+// HistoryEntry is one accepted change of the configuration.
+type HistoryEntry struct {
+	Revision uint64            `cbor:"1,keyasint" json:"revision"`
+	At       timekeeper.Millis `cbor:"2,keyasint" json:"at-millis"`
+	Author   string            `cbor:"3,keyasint" json:"author"`
+	What     string            `cbor:"4,keyasint" json:"what"`
+}
+
+// New returns the state of a new cluster: one preset, in force, and nothing else.
+func New() State {
+	preset := Preset{Name: DefaultPreset, Policy: scheduler.DefaultPolicy()}
+	return State{
+		Revision:  1,
+		InForce:   1,
+		Accepted:  DefaultPreset,
+		Current:   DefaultPreset,
+		Scheduler: scheduler.NewState(preset.Policy),
+		presets:   immutable.NewSortedMap[string, Preset](nil).Set(DefaultPreset, preset),
+		agents:    immutable.NewSortedMap[string, Agent](nil),
+		claims:    newClaims(),
+		answers:   immutable.NewMap[string, Answer](nil),
+		answerLog: immutable.NewList[string](),
+	}
+}
+
+// Effect is what a command changed besides the state, for those who tell others.
+type Effect struct {
+	Answer    Answer
+	Workers   []string // workers whose members changed
+	Decisions []scheduler.Decision
+	Agents    bool // the set of agents or what one announces changed
+	Config    bool // the configuration, or what of it is in force, changed
+	Requests  []RequestKey
+}
+
+// Apply returns the state after the command at index. A command id that was applied before gives its first answer.
+func (s State) Apply(index uint64, c Command) (State, Effect) {
+	s.Index = index
+	s.Now = max(s.Now, c.At)
+	if c.ID != "" {
+		if first, known := s.answers.Get(c.ID); known {
+			return s, Effect{Answer: first}
+		}
+	}
+	next, effect := s.apply(c)
+	effect.Answer.Index = index
+	if c.ID != "" {
+		next.remember(c.ID, effect.Answer)
+	}
+	next.claims.expire(next.Now)
+	return next, effect
+}
+
+func (s State) apply(c Command) (State, Effect) {
+	switch {
+	case c.Version > Version:
+		return s, Effect{Answer: Answer{Code: CodeTooNew, Reason: "written by a newer version"}}
+	case c.Change != nil:
+		return s.change(c)
+	case c.InForce != nil:
+		return s.putInForce(c.InForce.Revision)
+	case len(c.Events) > 0:
+		return s.steps(c.Events)
+	case c.Attach != nil:
+		return s.attach(*c.Attach)
+	case c.Detach != nil:
+		return s.detach(*c.Detach)
+	case len(c.Requests) > 0:
+		return s.requests(c.Requests)
+	case c.Owner != nil:
+		s.claims.orphan(s.Now, c.Owner.Owner)
+		return s, Effect{}
+	}
+	return s, Effect{Answer: Answer{Code: CodeRefused, Reason: "empty command"}}
+}
+
+func (s *State) remember(id string, a Answer) {
+	s.answers = s.answers.Set(id, a)
+	s.answerLog = s.answerLog.Append(id)
+	for s.answerLog.Len() > keepAnswers {
+		s.answers = s.answers.Delete(s.answerLog.Get(0))
+		s.answerLog = s.answerLog.Slice(1, s.answerLog.Len())
+	}
+}
+
+// steps feeds events to the scheduler; the answer is that of the last event refused, if any was.
+func (s State) steps(events []scheduler.Event) (State, Effect) {
+	var e Effect
+	for _, event := range events {
+		next, out := s.Scheduler.Step(s.Now, event)
+		s.Scheduler = next
+		e.Workers = append(e.Workers, out.Touched...)
+		e.Decisions = append(e.Decisions, out.Decisions...)
+		if out.Err != nil {
+			e.Answer = refused(out.Err)
+		}
+	}
+	slices.Sort(e.Workers)
+	e.Workers = slices.Compact(e.Workers)
+	return s, e
+}
+
+func refused(err error) Answer {
+	var refusal *scheduler.RefusalError
+	if errors.As(err, &refusal) {
+		return Answer{Code: CodeRefused, Reason: refusal.Reason}
+	}
+	return Answer{Code: CodeRefused, Reason: err.Error()}
+}
+
+func (s State) requests(steps []RequestStep) (State, Effect) {
+	var e Effect
+	for _, step := range steps {
+		e.Answer.Requests = append(e.Answer.Requests, s.claims.step(s.Now, step))
+		e.Requests = append(e.Requests, step.Key)
+	}
+	return s, e
+}
+
+// attach takes an agent. One that was started anew holds nothing of what its worker had.
+func (s State) attach(a Agent) (State, Effect) {
+	old, known := s.agents.Get(a.ID)
+	var events []scheduler.Event
+	restarted := known && old.Incarnation != a.Incarnation
+	if restarted && old.Worker != nil {
+		events = append(events, scheduler.Event{WorkerLost: &scheduler.WorkerLost{Worker: old.Worker.ID}})
+	}
+	if a.Worker != nil {
+		events = append(events, scheduler.Event{WorkerJoined: a.Worker})
+	}
+	s.agents = s.agents.Set(a.ID, a)
+	next, e := s.steps(events)
+	e.Agents = true
+	return next, e
+}
+
+func (s State) detach(d Detach) (State, Effect) {
+	a, known := s.agents.Get(d.Agent)
+	if !known || a.Incarnation != d.Incarnation {
+		return s, Effect{Answer: Answer{Code: CodeNotFound, Reason: "the agent is not attached under this incarnation"}}
+	}
+	s.agents = s.agents.Delete(d.Agent)
+	if a.Worker == nil {
+		return s, Effect{Agents: true}
+	}
+	next, e := s.steps([]scheduler.Event{{WorkerLost: &scheduler.WorkerLost{Worker: a.Worker.ID}}})
+	e.Agents = true
+	return next, e
+}
+
+// Agent returns an attached agent.
+func (s State) Agent(id string) (Agent, bool) { return s.agents.Get(id) }
+
+// Agents returns every attached agent, by id.
+func (s State) Agents() []Agent {
+	agents := make([]Agent, 0, s.agents.Len())
+	for it := s.agents.Iterator(); !it.Done(); {
+		_, a, _ := it.Next()
+		agents = append(agents, a)
+	}
+	return agents
+}
+
+// Request returns a claimed request.
+func (s State) Request(key RequestKey) (Request, bool) {
+	r, ok := s.claims.byKey.Get(key)
+	if !ok {
+		return Request{}, false
+	}
+	return *r, true
+}
+
+// UnsettledOwners returns the entry processes that have claims without an end.
+func (s State) UnsettledOwners() []string {
+	var owners []string
+	for it := s.claims.byOwner.Iterator(); !it.Done(); {
+		owner, _, _ := it.Next()
+		owners = append(owners, owner)
+	}
+	return owners
+}
+
+// HasClaimed reports whether an entry process has claims that are not orphaned yet.
+func (s State) HasClaimed(owner string) bool {
+	set, ok := s.claims.byOwner.Get(owner)
+	if !ok {
+		return false
+	}
+	for it := set.Iterator(); !it.Done(); {
+		key, _, _ := it.Next()
+		if r, _ := s.claims.byKey.Get(key); r.Phase == RequestClaimed {
+			return true
+		}
+	}
+	return false
+}
+
+// Claims returns the number of request ids that are remembered.
+func (s State) Claims() int { return s.claims.byKey.Len() }
+
+// Preset returns the preset of the given name.
+func (s State) Preset(name string) (Preset, bool) { return s.presets.Get(name) }
+
+// Presets returns every preset, by name.
+func (s State) Presets() []Preset {
+	var presets []Preset
+	for it := s.presets.Iterator(); !it.Done(); {
+		_, p, _ := it.Next()
+		presets = append(presets, p)
+	}
+	return presets
+}
+
+// Limits returns the limits of the preset in force.
+func (s State) Limits() Limits {
+	p, _ := s.presets.Get(s.Current)
+	return p.Limits
+}
+
+// Switching reports whether a preset was chosen that is not in force yet.
+func (s State) Switching() bool { return s.switched > s.InForce }
+
+// History returns the last changes of the configuration, oldest first; the caller must not change it.
+func (s State) History() []HistoryEntry { return s.history }
+
+func describe(c *Change) string {
+	switch {
+	case c.Workspace != nil:
+		return "set workspace " + c.Workspace.Name
+	case c.RemoveWorkspace != nil:
+		return "remove workspace " + *c.RemoveWorkspace
+	case c.Preset != nil:
+		return "set preset " + c.Preset.Name
+	case c.UsePreset != nil:
+		return "use preset " + *c.UsePreset
+	}
+	return "nothing"
+}
+
+// change accepts a configuration change made on the present revision.
+func (s State) change(c Command) (State, Effect) {
+	if c.Change.Seen != s.Revision {
+		reason := fmt.Sprintf("made on revision %d, the present one is %d", c.Change.Seen, s.Revision)
+		return s, Effect{Answer: Answer{Code: CodeConflict, Reason: reason, Revision: s.Revision}}
+	}
+	next, e := s.applyChange(c.Change)
+	if e.Answer.Code != CodeOK {
+		e.Answer.Revision = s.Revision
+		return s, e
+	}
+	next.Revision++
+	if c.Change.UsePreset != nil {
+		next.switched = next.Revision
+	}
+	entry := HistoryEntry{Revision: next.Revision, At: s.Now, Author: c.Author, What: describe(c.Change)}
+	next.history = append(slices.Clip(next.history), entry)
+	if len(next.history) > keepHistory {
+		next.history = next.history[len(next.history)-keepHistory:]
+	}
+	e.Config = true
+	e.Answer.Revision = next.Revision
+	return next, e
+}
+
+func (s State) applyChange(c *Change) (State, Effect) {
+	switch {
+	case c.Workspace != nil:
+		return s.steps([]scheduler.Event{{WorkspaceSet: c.Workspace}})
+	case c.RemoveWorkspace != nil:
+		return s.steps([]scheduler.Event{{WorkspaceRemoved: &scheduler.WorkspaceNamed{Name: *c.RemoveWorkspace}}})
+	case c.Preset != nil:
+		return s.setPreset(*c.Preset)
+	case c.UsePreset != nil:
+		return s.choosePreset(*c.UsePreset)
+	}
+	return s, Effect{Answer: Answer{Code: CodeRefused, Reason: "empty change"}}
+}
+
+func (s State) setPreset(p Preset) (State, Effect) {
+	if p.Name == "" {
+		return s, Effect{Answer: Answer{Code: CodeRefused, Reason: "preset name: must not be empty"}}
+	}
+	if p.Name == s.Current || p.Name == s.Accepted {
+		reason := fmt.Sprintf("preset %q is in use; set another one and switch to it", p.Name)
+		return s, Effect{Answer: Answer{Code: CodeRefused, Reason: reason}}
+	}
+	s.presets = s.presets.Set(p.Name, p)
+	return s, Effect{}
+}
+
+func (s State) choosePreset(name string) (State, Effect) {
+	if _, ok := s.presets.Get(name); !ok {
+		return s, Effect{Answer: Answer{Code: CodeNotFound, Reason: fmt.Sprintf("preset %q: not known", name)}}
+	}
+	s.Accepted = name
+	return s, Effect{}
+}
+
+// putInForce notes that every holder acknowledged a revision. A preset chosen up to it comes into force here, at
+// one place in the log.
+func (s State) putInForce(revision uint64) (State, Effect) {
+	if revision <= s.InForce || revision > s.Revision {
+		return s, Effect{}
+	}
+	s.InForce = revision
+	if s.Accepted == s.Current || s.switched > revision {
+		return s, Effect{Config: true}
+	}
+	s.Current = s.Accepted
+	p, _ := s.presets.Get(s.Current)
+	next, e := s.steps([]scheduler.Event{{PolicySet: &p.Policy}})
+	e.Config = true
+	return next, e
+}
--- /dev/null
+++ b/internal/replicator/core.go
@@ -0,0 +1,544 @@
+package replicator
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// Role is what a replica does in its term.
+type Role uint8
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Errors of proposals and reads.
+var (
+	ErrNotLeader     = errors.New("this replica does not lead")
+	ErrChangePending = errors.New("another membership change is in progress")
+	ErrOverloaded    = errors.New("too many proposals are in progress")
+)
+
+const (
+	maxAppendEntries  = 512
+	maxPendingEntries = 8192
+)
+
+// Timing holds the intervals of the protocol; a zero field takes its default.
+type Timing struct {
+	Election  timekeeper.Millis // shortest silence of the leader before an election, default 400 ms
+	Heartbeat timekeeper.Millis // default 60 ms
+}
+
+// WithDefaults returns a copy in which zero fields have their defaults.
+func (t Timing) WithDefaults() Timing {
+	if t.Election == 0 {
+		t.Election = 400
+	}
+	if t.Heartbeat == 0 {
+		t.Heartbeat = 60
+	}
+	return t
+}
+
+// progress is what a leader knows of one follower.
+type progress struct {
+	match        uint64
+	next         uint64
+	heard        timekeeper.Millis
+	round        uint64
+	snapshotTill timekeeper.Millis // no second snapshot is sent before this time
+}
+
+type pendingRead struct {
+	round uint64
+	index uint64
+	id    uint64
+}
+
+// Core is the replication protocol of one replica, without I/O.
+//
+// Invariants: term never falls; at most one vote a term; commit never falls and never passes what a quorum has
+// made durable; entries at or below commit are never replaced. It belongs to one goroutine.
+type Core struct {
+	id     ReplicaID
+	timing Timing
+	rng    *rand.Rand
+	now    timekeeper.Millis
+
+	term   uint64
+	vote   ReplicaID
+	role   Role
+	leader ReplicaID
+	log    entryLog
+	commit uint64
+
+	durable     uint64 // last index known to be on this replica's disk
+	handedOut   uint64 // last index given to the driver to persist
+	delivered   uint64 // last committed index given to the driver to apply
+	savedState  journaler.HardState
+	installed   *journaler.Snapshot
+	eager       []Message
+	messages    []Message
+	readsDone   []ReadResult
+	electionDue timekeeper.Millis
+	leaderHeard timekeeper.Millis
+	heartbeat   timekeeper.Millis
+	votes       map[ReplicaID]bool
+	peers       map[ReplicaID]*progress
+	round       uint64
+	reads       []pendingRead
+	transferee  ReplicaID
+	transferDue timekeeper.Millis
+}
+
+// ReadResult tells that the state up to Index is confirmed as current for the read ID.
+type ReadResult struct {
+	ID    uint64
+	Index uint64
+	Err   error
+}
+
+// Ready is work for the driver, in this order: send Eager, save Snapshot, persist State and Entries, send
+// Messages, apply Committed.
+type Ready struct {
+	Eager     []Message
+	Snapshot  *journaler.Snapshot
+	Persist   bool
+	State     journaler.HardState
+	Entries   []journaler.Entry
+	Messages  []Message
+	Committed []journaler.Entry
+	Reads     []ReadResult
+}
+
+// NewCore returns a replica with what its journal holds.
+func NewCore(id ReplicaID, timing Timing, seed uint64, j *journaler.Journal, now timekeeper.Millis) (*Core, error) {
+	return restoreCore(id, timing, seed, j.State(), j.Snapshot(), j.Entries(), now)
+}
+
+func restoreCore(id ReplicaID, timing Timing, seed uint64, state journaler.HardState, snap journaler.Snapshot, entries []journaler.Entry, now timekeeper.Millis) (*Core, error) {
+	members, err := decodeMembership(snap.Members)
+	if err != nil {
+		return nil, fmt.Errorf("read snapshot membership: %w", err)
+	}
+	c := &Core{
+		id:         id,
+		timing:     timing.WithDefaults(),
+		rng:        rand.New(rand.NewPCG(seed, uint64(id))),
+		now:        now,
+		term:       state.Term,
+		vote:       ReplicaID(state.Vote),
+		savedState: state,
+		commit:     snap.Index,
+		delivered:  snap.Index,
+	}
+	c.log.reset(snap, members)
+	for _, e := range entries {
+		if e.Index > snap.Index {
+			c.log.append(e)
+		}
+	}
+	c.durable, c.handedOut = c.log.last(), c.log.last()
+	c.leaderHeard = now - c.timing.Election
+	c.resetElection()
+	return c, nil
+}
+
+// Bootstrap makes the first entry of a new log: a membership of this replica alone. It does nothing where there is
+// a log already.
+func (c *Core) Bootstrap(m Membership) {
+	if c.log.last() > 0 || c.term > 0 {
+		return
+	}
+	c.term = 1
+	c.log.append(journaler.Entry{Index: 1, Term: 1, Kind: EntryMembership, Data: m.encode()})
+}
+
+// Status is a copy of what others may know of a Core.
+type Status struct {
+	ID      ReplicaID
+	Term    uint64
+	Role    Role
+	Leader  ReplicaID
+	Commit  uint64
+	Last    uint64
+	Members Membership
+}
+
+// Status returns the replica's present state.
+func (c *Core) Status() Status {
+	return Status{c.id, c.term, c.role, c.leader, c.commit, c.log.last(), c.log.membership()}
+}
+
+// Tick moves the clock; it starts elections and heartbeats that are due.
+func (c *Core) Tick(now timekeeper.Millis) {
+	c.now = now
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if now >= c.electionDue {
+		c.resetElection()
+		if c.log.membership().IsVoter(c.id) {
+			c.campaign(PreCandidate, false)
+		}
+	}
+}
+
+func (c *Core) tickLeader() {
+	if !c.heardQuorum() {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	if c.transferee != 0 && c.now >= c.transferDue {
+		c.transferee = 0
+	}
+	if c.now >= c.heartbeat {
+		c.broadcast(true)
+	}
+}
+
+func (c *Core) heardQuorum() bool {
+	return c.log.membership().quorum(func(id ReplicaID) bool {
+		p := c.peers[id]
+		return id == c.id || p != nil && c.now-p.heard < c.timing.Election
+	})
+}
+
+// Propose appends data to the log and returns its index and term.
+func (c *Core) Propose(kind uint8, data []byte) (index, term uint64, err error) {
+	if c.role != Leader || c.transferee != 0 {
+		return 0, 0, ErrNotLeader
+	}
+	if c.log.last()-c.commit >= maxPendingEntries {
+		return 0, 0, ErrOverloaded
+	}
+	e := journaler.Entry{Index: c.log.last() + 1, Term: c.term, Kind: kind, Data: data}
+	c.log.append(e)
+	return e.Index, e.Term, nil
+}
+
+// ProposeMembership appends a membership that differs from the present one in at most one voter.
+func (c *Core) ProposeMembership(m Membership) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	committedTerm, _ := c.log.term(c.commit)
+	if c.log.membershipIndex() > c.commit || committedTerm != c.term {
+		return 0, 0, ErrChangePending
+	}
+	if !m.IsVoter(c.id) {
+		return 0, 0, errors.New("the leader cannot remove itself; hand over leadership first")
+	}
+	if voterChanges(c.log.membership(), m) > 1 {
+		return 0, 0, errors.New("a membership change may add or remove one voter only")
+	}
+	index, term, err = c.Propose(EntryMembership, m.encode())
+	c.syncPeers()
+	return index, term, err
+}
+
+func voterChanges(a, b Membership) int {
+	n := 0
+	for _, o := range a.Members {
+		if o.Voter && !b.IsVoter(o.ID) {
+			n++
+		}
+	}
+	for _, o := range b.Members {
+		if o.Voter && !a.IsVoter(o.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+// Flush sends new entries to followers that are ready for them; the driver calls it after a group of proposals.
+func (c *Core) Flush() {
+	if c.role == Leader {
+		c.broadcast(false)
+	}
+}
+
+// Read asks for confirmation that this replica still leads; the answer comes in Ready.Reads under id.
+func (c *Core) Read(id uint64) error {
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	if t, _ := c.log.term(c.commit); t != c.term {
+		return ErrNotLeader
+	}
+	c.round++
+	c.reads = append(c.reads, pendingRead{c.round, c.commit, id})
+	c.broadcast(true)
+	c.confirmReads()
+	return nil
+}
+
+// Transfer hands leadership to the most advanced voter; proposals are refused until it ends or an election passes.
+func (c *Core) Transfer() bool {
+	if c.role != Leader {
+		return false
+	}
+	var best ReplicaID
+	for _, o := range c.log.membership().Members {
+		p := c.peers[o.ID]
+		if !o.Voter || p == nil || c.now-p.heard >= c.timing.Election {
+			continue
+		}
+		if best == 0 || p.match > c.peers[best].match {
+			best = o.ID
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	c.transferee, c.transferDue = best, c.now+c.timing.Election
+	c.finishTransfer()
+	return true
+}
+
+func (c *Core) finishTransfer() {
+	p := c.peers[c.transferee]
+	if p != nil && p.match == c.log.last() {
+		c.send(Message{Kind: TimeoutNow, To: c.transferee})
+	}
+}
+
+// Promotable returns learners whose log has reached the commit index.
+func (c *Core) Promotable() []Member {
+	var ready []Member
+	for _, o := range c.log.membership().Members {
+		p := c.peers[o.ID]
+		if c.role == Leader && !o.Voter && p != nil && p.match >= c.commit && p.match > 0 {
+			ready = append(ready, o)
+		}
+	}
+	return ready
+}
+
+// Compact forgets entries up to index, which a durable snapshot covers.
+func (c *Core) Compact(index uint64) { c.log.compact(min(index, c.delivered)) }
+
+// Persisted tells that entries up to index are on this replica's disk.
+func (c *Core) Persisted(index uint64) {
+	c.durable = max(c.durable, index)
+	if c.role == Leader {
+		c.advanceCommit()
+	}
+}
+
+// Ready returns the work that has gathered since the last call.
+func (c *Core) Ready() Ready {
+	r := Ready{
+		Eager:    c.eager,
+		Messages: c.messages,
+		Snapshot: c.installed,
+		State:    journaler.HardState{Term: c.term, Vote: uint64(c.vote)},
+		Entries:  c.log.slice(c.handedOut, c.log.last(), int(c.log.last()-c.handedOut)),
+		Reads:    c.readsDone,
+	}
+	if r.State != c.savedState {
+		// A leader must not be heard before its own vote is durable: it might lead the same term twice.
+		r.Eager, r.Messages = nil, append(r.Eager, r.Messages...)
+	}
+	r.Persist = r.State != c.savedState || len(r.Entries) > 0
+	c.savedState = r.State
+	c.eager, c.messages, c.installed, c.readsDone = nil, nil, nil, nil
+	c.handedOut = c.log.last()
+	if c.commit > c.delivered {
+		r.Committed = c.log.slice(c.delivered, c.commit, int(c.commit-c.delivered))
+		c.delivered = c.commit
+	}
+	return r
+}
+
+// Idle reports whether Ready would return no work.
+func (c *Core) Idle() bool {
+	return len(c.eager) == 0 && len(c.messages) == 0 && c.installed == nil && len(c.readsDone) == 0 &&
+		c.handedOut == c.log.last() && c.commit == c.delivered &&
+		c.savedState == journaler.HardState{Term: c.term, Vote: uint64(c.vote)}
+}
+
+func (c *Core) send(m Message) {
+	m.From = c.id
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	if m.Kind == AppendRequest || m.Kind == SnapshotRequest {
+		c.eager = append(c.eager, m)
+		return
+	}
+	c.messages = append(c.messages, m)
+}
+
+func (c *Core) resetElection() {
+	c.electionDue = c.now + c.timing.Election + timekeeper.Millis(c.rng.Int64N(int64(c.timing.Election)))
+}
+
+func (c *Core) becomeFollower(term uint64, leader ReplicaID) {
+	if term > c.term {
+		c.term, c.vote = term, 0
+	}
+	if c.role == Leader {
+		c.failReads()
+	}
+	c.role, c.leader = Follower, leader
+	c.transferee = 0
+	c.resetElection()
+}
+
+func (c *Core) failReads() {
+	for _, r := range c.reads {
+		c.readsDone = append(c.readsDone, ReadResult{ID: r.id, Err: ErrNotLeader})
+	}
+	c.reads = nil
+}
+
+func (c *Core) campaign(role Role, handover bool) {
+	c.role, c.leader = role, 0
+	c.votes = map[ReplicaID]bool{c.id: true}
+	term, kind := c.term+1, PreVoteRequest
+	if role == Candidate {
+		c.term, c.vote, kind = term, c.id, VoteRequest
+	}
+	for _, o := range c.log.membership().Members {
+		if o.Voter && o.ID != c.id {
+			c.send(Message{Kind: kind, To: o.ID, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Handover: handover})
+		}
+	}
+	c.countVotes(handover)
+}
+
+func (c *Core) countVotes(handover bool) {
+	if !c.log.membership().quorum(func(id ReplicaID) bool { return c.votes[id] }) {
+		return
+	}
+	if c.role == PreCandidate {
+		c.campaign(Candidate, handover)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader = Leader, c.id
+	c.peers = map[ReplicaID]*progress{}
+	c.reads, c.transferee = nil, 0
+	c.syncPeers()
+	c.log.append(journaler.Entry{Index: c.log.last() + 1, Term: c.term, Kind: EntryNoop})
+	c.broadcast(true)
+}
+
+// syncPeers keeps one progress for each other member. A new one counts as just heard, so that a change of
+// membership does not fail the quorum check at once.
+func (c *Core) syncPeers() {
+	members := c.log.membership()
+	for _, o := range members.Members {
+		if o.ID != c.id && c.peers[o.ID] == nil {
+			c.peers[o.ID] = &progress{next: c.log.last() + 1, heard: c.now}
+		}
+	}
+	for id := range c.peers {
+		if _, ok := members.Member(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+}
+
+// peerIDs returns the followers in a fixed order, so that equal runs send equal messages.
+func (c *Core) peerIDs() []ReplicaID {
+	ids := make([]ReplicaID, 0, len(c.peers))
+	for id := range c.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) broadcast(heartbeat bool) {
+	if heartbeat {
+		c.heartbeat = c.now + c.timing.Heartbeat
+	}
+	for _, id := range c.peerIDs() {
+		if heartbeat || c.peers[id].next <= c.log.last() {
+			c.sendAppend(id)
+		}
+	}
+}
+
+func (c *Core) sendAppend(id ReplicaID) {
+	p := c.peers[id]
+	term, ok := c.log.term(p.next - 1)
+	if !ok {
+		c.sendSnapshot(id, p)
+		return
+	}
+	entries := c.log.slice(p.next-1, c.log.last(), maxAppendEntries)
+	c.send(Message{Kind: AppendRequest, To: id, Index: p.next - 1, LogTerm: term, Commit: c.commit, Entries: entries, Round: c.round})
+	p.next += uint64(len(entries))
+}
+
+// sendSnapshot asks the driver for its newest snapshot; a heartbeat goes along so that the follower keeps quiet.
+func (c *Core) sendSnapshot(id ReplicaID, p *progress) {
+	c.send(Message{Kind: AppendRequest, To: id, Index: c.log.last() + 1, LogTerm: c.term, Round: c.round})
+	if c.now < p.snapshotTill {
+		return
+	}
+	p.snapshotTill = c.now + 4*c.timing.Election
+	c.send(Message{Kind: SnapshotRequest, To: id})
+}
+
+// advanceCommit commits what a majority of voters has made durable, provided that it ends in the present term.
+func (c *Core) advanceCommit() {
+	var durable []uint64
+	for _, o := range c.log.membership().Members {
+		if o.Voter {
+			durable = append(durable, c.durableAt(o.ID))
+		}
+	}
+	slices.Sort(durable)
+	index := durable[(len(durable)-1)/2]
+	if term, held := c.log.term(index); index <= c.commit || !held || term != c.term {
+		return
+	}
+	c.commit = index
+	c.confirmReads()
+}
+
+func (c *Core) durableAt(id ReplicaID) uint64 {
+	if id == c.id {
+		return c.durable
+	}
+	if p := c.peers[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+func (c *Core) confirmReads() {
+	members := c.log.membership()
+	for len(c.reads) > 0 {
+		r := c.reads[0]
+		if !members.quorum(func(id ReplicaID) bool { return id == c.id || c.peers[id] != nil && c.peers[id].round >= r.round }) {
+			return
+		}
+		c.readsDone = append(c.readsDone, ReadResult{ID: r.id, Index: r.index})
+		c.reads = c.reads[1:]
+	}
+}
--- /dev/null
+++ b/internal/replicator/membership.go
@@ -0,0 +1,113 @@
+package replicator
+
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+)
+
+// ReplicaID names a replica for as long as its data folder lives; zero names none.
+type ReplicaID uint64
+
+// Member is one replica of the log; a member that is no voter only receives the log.
+type Member struct {
+	ID      ReplicaID `cbor:"1,keyasint"`
+	Address string    `cbor:"2,keyasint"`
+	Voter   bool      `cbor:"3,keyasint"`
+}
+
+// Membership is an immutable list of members, with the addresses at which replicas may join.
+type Membership struct {
+	Members []Member `cbor:"1,keyasint"`
+	Seats   []string `cbor:"2,keyasint"`
+}
+
+// Member returns the member with the given id.
+func (m Membership) Member(id ReplicaID) (Member, bool) {
+	i := slices.IndexFunc(m.Members, func(o Member) bool { return o.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m.Members[i], true
+}
+
+// At returns the member with the given address.
+func (m Membership) At(address string) (Member, bool) {
+	i := slices.IndexFunc(m.Members, func(o Member) bool { return o.Address == address })
+	if i < 0 {
+		return Member{}, false
+	}
+	return m.Members[i], true
+}
+
+// Voters returns the number of voting members.
+func (m Membership) Voters() int {
+	n := 0
+	for _, o := range m.Members {
+		if o.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// IsVoter reports whether id names a voting member.
+func (m Membership) IsVoter(id ReplicaID) bool {
+	o, ok := m.Member(id)
+	return ok && o.Voter
+}
+
+// WithMember returns a copy in which o is added or replaced.
+func (m Membership) WithMember(o Member) Membership {
+	m = m.WithoutMember(o.ID)
+	m.Members = append(m.Members, o)
+	return m
+}
+
+// WithoutMember returns a copy in which no member has the given id.
+func (m Membership) WithoutMember(id ReplicaID) Membership {
+	m.Members = slices.DeleteFunc(slices.Clone(m.Members), func(o Member) bool { return o.ID == id })
+	return m
+}
+
+// WithSeat returns a copy in which a replica may join at address.
+func (m Membership) WithSeat(address string) Membership {
+	if !slices.Contains(m.Seats, address) {
+		m.Seats = append(slices.Clone(m.Seats), address)
+	}
+	return m
+}
+
+// WithoutSeat returns a copy in which no replica may join at address.
+func (m Membership) WithoutSeat(address string) Membership {
+	m.Seats = slices.DeleteFunc(slices.Clone(m.Seats), func(s string) bool { return s == address })
+	return m
+}
+
+// quorum reports whether the members counted by yes are a majority of the voters.
+func (m Membership) quorum(yes func(ReplicaID) bool) bool {
+	n := 0
+	for _, o := range m.Members {
+		if o.Voter && yes(o.ID) {
+			n++
+		}
+	}
+	return n > m.Voters()/2
+}
+
+func (m Membership) encode() []byte {
+	data, err := encoder.Marshal(m)
+	if err != nil {
+		panic(err) // a Membership holds only strings and numbers
+	}
+	return data
+}
+
+func decodeMembership(data []byte) (Membership, error) {
+	var m Membership
+	if len(data) == 0 {
+		return m, nil
+	}
+	err := encoder.Unmarshal(data, &m)
+	return m, err
+}
--- /dev/null
+++ b/internal/replicator/node.go
@@ -0,0 +1,532 @@
+package replicator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// ErrUncertain tells that a proposal may or may not take effect; the caller resends it under the same command id.
+var ErrUncertain = errors.New("the outcome of the proposal is not known")
+
+// ErrStopped tells that the node no longer runs.
+var ErrStopped = errors.New("the replica has stopped")
+
+const (
+	proposalBatch      = 256
+	inboxMessages      = 4096
+	tickInterval       = 20 * timekeeper.Millis(1)
+	snapshotEntries    = 20_000
+	maxFollowedEntries = 512
+)
+
+// StateMachine is what the log's commands change; Node calls it from one goroutine, in log order.
+type StateMachine interface {
+	// Apply changes the state by one command and returns the command's answer.
+	Apply(index uint64, command []byte) any
+	// Capture returns a function that encodes the state as it is now; the function may run on any goroutine.
+	Capture() func() ([]byte, error)
+	// Restore replaces the state, which is then that after the entry at index.
+	Restore(index uint64, data []byte) error
+}
+
+// Transport carries messages to other replicas; Send must not block and may lose messages.
+type Transport interface {
+	Send(members Membership, messages []Message)
+}
+
+type outcome struct {
+	value any
+	err   error
+}
+
+type proposal struct {
+	kind   uint8
+	data   []byte
+	change func(Membership) (Membership, error)
+	done   chan outcome
+}
+
+type readRequest struct {
+	done chan outcome
+}
+
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+type snapshotDone struct {
+	snapshot journaler.Snapshot
+	err      error
+}
+
+// Node runs one replica. Core, journal and state machine belong to its goroutine; other goroutines talk to it over
+// channels and read published immutable views.
+type Node struct {
+	core      *Core
+	journal   *journaler.Journal
+	machine   StateMachine
+	transport Transport
+	clock     timekeeper.Clock
+	every     uint64 // entries between snapshots
+
+	proposals  chan proposal
+	readsIn    chan readRequest
+	inbox      chan Message
+	transfers  chan chan bool
+	bootstraps chan Membership
+	snapshots  chan snapshotDone
+	done       chan struct{}
+
+	waiters     map[uint64]waiter
+	reads       map[uint64]chan outcome
+	readSerial  uint64
+	applied     uint64
+	snapshotAt  uint64
+	snapshoting bool
+	view        atomic.Pointer[view]
+	ticked      atomic.Int64
+	err         error
+}
+
+// view is the part of a node that other goroutines read; it is immutable.
+type view struct {
+	status     Status
+	applied    uint64
+	base       journaler.Snapshot // state before entries
+	entries    []journaler.Entry  // committed and applied, contiguous, after some index at or below base.Index
+	first      uint64             // index of entries[0]
+	changed    chan struct{}      // closed when the next view is published
+	promotable []Member
+}
+
+// NodeConfig holds what a node is made of; a zero SnapshotEvery takes the default.
+type NodeConfig struct {
+	Journal       *journaler.Journal
+	Machine       StateMachine
+	Transport     Transport
+	Clock         timekeeper.Clock
+	Timing        Timing
+	Seed          uint64
+	SnapshotEvery uint64
+}
+
+// NewNode restores the state machine from the journal; Run starts the replica.
+func NewNode(config NodeConfig) (*Node, error) {
+	j := config.Journal
+	core, err := NewCore(ReplicaID(j.Identity()), config.Timing, config.Seed, j, config.Clock.Now())
+	if err != nil {
+		return nil, fmt.Errorf("restore replica: %w", err)
+	}
+	if s := j.Snapshot(); s.Index > 0 {
+		if err := config.Machine.Restore(s.Index, s.Data); err != nil {
+			return nil, fmt.Errorf("restore state from snapshot: %w", err)
+		}
+	}
+	n := &Node{
+		core: core, journal: j, machine: config.Machine, transport: config.Transport, clock: config.Clock,
+		every:      config.SnapshotEvery,
+		proposals:  make(chan proposal, proposalBatch),
+		readsIn:    make(chan readRequest, proposalBatch),
+		inbox:      make(chan Message, inboxMessages),
+		transfers:  make(chan chan bool),
+		bootstraps: make(chan Membership),
+		snapshots:  make(chan snapshotDone, 1),
+		done:       make(chan struct{}),
+		waiters:    map[uint64]waiter{},
+		reads:      map[uint64]chan outcome{},
+		applied:    j.Snapshot().Index,
+	}
+	if n.every == 0 {
+		n.every = snapshotEntries
+	}
+	n.snapshotAt = n.applied
+	n.publish(make(chan struct{}))
+	return n, nil
+}
+
+// Bootstrap makes this replica the only voter of a new log; seats are the addresses at which others may join. The
+// node must run.
+func (n *Node) Bootstrap(address string, seats []string) {
+	self := Member{ID: n.ID(), Address: address, Voter: true}
+	select {
+	case n.bootstraps <- Membership{Members: []Member{self}, Seats: seats}:
+	case <-n.done:
+	}
+}
+
+// ID returns the replica's identity.
+func (n *Node) ID() ReplicaID { return ReplicaID(n.journal.Identity()) }
+
+// Status returns the replica's state at the end of its last round of work.
+func (n *Node) Status() Status { return n.view.Load().status }
+
+// TickedAt returns the time, by the node's clock, at which it last looked at its timers. A node that lags here may
+// believe in a leadership that it has lost.
+func (n *Node) TickedAt() timekeeper.Millis { return timekeeper.Millis(n.ticked.Load()) }
+
+// Promotable returns learners that have caught up, while this replica leads.
+func (n *Node) Promotable() []Member { return n.view.Load().promotable }
+
+// Done is closed when Run has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Receive hands over a message from another replica; it drops the message when the node is far behind.
+func (n *Node) Receive(m Message) {
+	select {
+	case n.inbox <- m:
+	default:
+	}
+}
+
+// Propose appends command to the log and returns the state machine's answer once it is committed and applied.
+func (n *Node) Propose(ctx context.Context, command []byte) (any, error) {
+	return n.submit(ctx, proposal{kind: EntryCommand, data: command})
+}
+
+// ChangeMembership proposes what change makes of the present membership.
+func (n *Node) ChangeMembership(ctx context.Context, change func(Membership) (Membership, error)) error {
+	_, err := n.submit(ctx, proposal{kind: EntryMembership, change: change})
+	return err
+}
+
+func (n *Node) submit(ctx context.Context, p proposal) (any, error) {
+	p.done = make(chan outcome, 1)
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait to propose: %w", ctx.Err())
+	case <-n.done:
+		return nil, ErrStopped
+	}
+	return n.await(ctx, p.done)
+}
+
+func (n *Node) await(ctx context.Context, done <-chan outcome) (any, error) {
+	select {
+	case o := <-done:
+		return o.value, o.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrUncertain, ctx.Err())
+	case <-n.done:
+		return nil, fmt.Errorf("%w: %w", ErrUncertain, ErrStopped)
+	}
+}
+
+// Read returns once the state machine holds everything committed before the call, as a quorum confirmed; it
+// returns the index confirmed.
+func (n *Node) Read(ctx context.Context) (uint64, error) {
+	r := readRequest{done: make(chan outcome, 1)}
+	select {
+	case n.readsIn <- r:
+	case <-ctx.Done():
+		return 0, fmt.Errorf("wait to read: %w", ctx.Err())
+	case <-n.done:
+		return 0, ErrStopped
+	}
+	value, err := n.await(ctx, r.done)
+	if err != nil {
+		return 0, err
+	}
+	return value.(uint64), nil
+}
+
+// Transfer hands leadership to another voter; it reports whether there was one to hand it to.
+func (n *Node) Transfer(ctx context.Context) bool {
+	answer := make(chan bool, 1)
+	select {
+	case n.transfers <- answer:
+		return <-answer
+	case <-ctx.Done():
+	case <-n.done:
+	}
+	return false
+}
+
+// Committed returns committed entries after index, or a snapshot to start from where they are no longer held.
+// With nothing new it returns a channel that is closed when there may be.
+func (n *Node) Committed(index uint64) ([]journaler.Entry, *journaler.Snapshot, <-chan struct{}) {
+	v := n.view.Load()
+	if index >= v.applied {
+		return nil, nil, v.changed
+	}
+	if index+1 < v.first {
+		return nil, &v.base, nil
+	}
+	from := index + 1 - v.first
+	to := min(uint64(len(v.entries)), from+maxFollowedEntries)
+	return v.entries[from:to], nil, nil
+}
+
+// Changed returns a channel that is closed after the node's next round of work.
+func (n *Node) Changed() <-chan struct{} { return n.view.Load().changed }
+
+// Run drives the replica until ctx ends or its disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	defer n.failAll(ErrStopped)
+	ticker := newTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		if err := n.work(); err != nil {
+			n.err = err
+			return fmt.Errorf("run replica: %w", err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			now := n.clock.Now()
+			n.core.Tick(now)
+			n.ticked.Store(int64(now))
+		case m := <-n.inbox:
+			n.takeMessages(m)
+		case p := <-n.proposals:
+			n.takeProposals(p)
+		case r := <-n.readsIn:
+			n.takeRead(r)
+		case answer := <-n.transfers:
+			answer <- n.core.Transfer()
+		case m := <-n.bootstraps:
+			n.core.Bootstrap(m)
+		case s := <-n.snapshots:
+			if err := n.adopt(s); err != nil {
+				return fmt.Errorf("adopt snapshot: %w", err)
+			}
+		}
+	}
+}
+
+func (n *Node) takeMessages(m Message) {
+	now := n.clock.Now()
+	n.core.Step(now, m)
+	for range proposalBatch {
+		select {
+		case m = <-n.inbox:
+			n.core.Step(now, m)
+		default:
+			return
+		}
+	}
+}
+
+// takeProposals appends every waiting proposal, so that they share one write to disk.
+func (n *Node) takeProposals(p proposal) {
+	n.propose(p)
+	for range proposalBatch {
+		select {
+		case p = <-n.proposals:
+			n.propose(p)
+		default:
+			n.core.Flush()
+			return
+		}
+	}
+	n.core.Flush()
+}
+
+func (n *Node) propose(p proposal) {
+	var index, term uint64
+	var err error
+	if p.change == nil {
+		index, term, err = n.core.Propose(p.kind, p.data)
+	} else {
+		index, term, err = n.proposeChange(p.change)
+	}
+	if err != nil {
+		p.done <- outcome{err: err}
+		return
+	}
+	n.waiters[index] = waiter{term, p.done}
+}
+
+func (n *Node) proposeChange(change func(Membership) (Membership, error)) (index, term uint64, err error) {
+	next, err := change(n.core.Status().Members)
+	if err != nil {
+		return 0, 0, fmt.Errorf("change membership: %w", err)
+	}
+	return n.core.ProposeMembership(next)
+}
+
+func (n *Node) takeRead(r readRequest) {
+	n.readSerial++
+	n.reads[n.readSerial] = r.done
+	if err := n.core.Read(n.readSerial); err != nil {
+		delete(n.reads, n.readSerial)
+		r.done <- outcome{err: err}
+	}
+}
+
+// work does all that the core has ready: eager sends, disk, sends, applies.
+func (n *Node) work() error {
+	for !n.core.Idle() {
+		r := n.core.Ready()
+		members := n.core.Status().Members
+		n.transport.Send(members, n.complete(r.Eager))
+		if err := n.persist(r); err != nil {
+			return err
+		}
+		n.transport.Send(members, n.complete(r.Messages))
+		n.apply(r.Committed)
+		n.finishReads(r.Reads)
+	}
+	if n.core.Status().Role != Leader {
+		n.failWaiters()
+	}
+	n.startSnapshot()
+	n.publishIfChanged()
+	return nil
+}
+
+func (n *Node) complete(messages []Message) []Message {
+	for i, m := range messages {
+		if m.Kind == SnapshotRequest && m.Snapshot == nil {
+			messages[i] = NewestSnapshot(m, n.journal.Snapshot())
+		}
+	}
+	return messages
+}
+
+func (n *Node) persist(r Ready) error {
+	if r.Snapshot != nil {
+		if err := n.install(*r.Snapshot); err != nil {
+			return err
+		}
+	}
+	if !r.Persist {
+		return nil
+	}
+	if err := n.journal.Append(journaler.Batch{State: r.State, Entries: r.Entries}); err != nil {
+		return fmt.Errorf("write log: %w", err)
+	}
+	if len(r.Entries) > 0 {
+		n.core.Persisted(r.Entries[len(r.Entries)-1].Index)
+	}
+	return nil
+}
+
+func (n *Node) install(s journaler.Snapshot) error {
+	if err := n.journal.SaveSnapshot(s); err != nil {
+		return fmt.Errorf("save received snapshot: %w", err)
+	}
+	if err := n.machine.Restore(s.Index, s.Data); err != nil {
+		return fmt.Errorf("restore received snapshot: %w", err)
+	}
+	n.applied, n.snapshotAt = s.Index, s.Index
+	return nil
+}
+
+func (n *Node) apply(entries []journaler.Entry) {
+	for _, e := range entries {
+		var value any
+		if e.Kind == EntryCommand {
+			value = n.machine.Apply(e.Index, e.Data)
+		}
+		n.applied = e.Index
+		w, ok := n.waiters[e.Index]
+		if !ok {
+			continue
+		}
+		delete(n.waiters, e.Index)
+		if w.term != e.Term {
+			w.done <- outcome{err: ErrNotLeader} // another leader's entry took the place: ours never takes effect
+			continue
+		}
+		w.done <- outcome{value: value}
+	}
+}
+
+func (n *Node) finishReads(results []ReadResult) {
+	for _, r := range results {
+		done, ok := n.reads[r.ID]
+		if !ok {
+			continue
+		}
+		delete(n.reads, r.ID)
+		done <- outcome{value: r.Index, err: r.Err}
+	}
+}
+
+// failWaiters answers proposals of a lost leadership: their entries may still be committed by the next leader.
+func (n *Node) failWaiters() {
+	for index, w := range n.waiters {
+		delete(n.waiters, index)
+		w.done <- outcome{err: ErrUncertain}
+	}
+}
+
+func (n *Node) failAll(err error) {
+	n.failWaiters()
+	for id, done := range n.reads {
+		delete(n.reads, id)
+		done <- outcome{err: err}
+	}
+}
+
+// startSnapshot encodes and writes a snapshot beside the node's work; adopt finishes it.
+func (n *Node) startSnapshot() {
+	if n.snapshoting || n.applied-n.snapshotAt < n.every {
+		return
+	}
+	n.snapshoting = true
+	term, _ := n.core.log.term(n.applied)
+	s := journaler.Snapshot{Index: n.applied, Term: term, Members: n.core.log.membershipAt(n.applied).encode()}
+	encode := n.machine.Capture()
+	go func() {
+		var err error
+		if s.Data, err = encode(); err == nil {
+			err = n.journal.PrepareSnapshot(s)
+		}
+		n.snapshots <- snapshotDone{s, err}
+	}()
+}
+
+func (n *Node) adopt(d snapshotDone) error {
+	n.snapshoting = false
+	if d.err != nil {
+		return d.err
+	}
+	if d.snapshot.Index <= n.journal.Snapshot().Index {
+		return nil // a received snapshot overtook it
+	}
+	if err := n.journal.AdoptSnapshot(d.snapshot); err != nil {
+		return err
+	}
+	n.snapshotAt = d.snapshot.Index
+	if behind := n.journal.Entries(); len(behind) > 0 {
+		n.core.Compact(behind[0].Index)
+	}
+	return nil
+}
+
+func (n *Node) publishIfChanged() {
+	old := n.view.Load()
+	status := n.core.Status()
+	same := old.status.Term == status.Term && old.status.Role == status.Role && old.status.Leader == status.Leader &&
+		old.status.Last == status.Last && old.applied == n.applied && old.base.Index == n.journal.Snapshot().Index &&
+		len(old.promotable) == len(n.core.Promotable())
+	if same {
+		return
+	}
+	n.publish(make(chan struct{}))
+	close(old.changed)
+}
+
+func (n *Node) publish(changed chan struct{}) {
+	log := &n.core.log
+	entries := log.slice(log.prefixIndex, n.applied, len(log.entries))
+	n.view.Store(&view{
+		status:     n.core.Status(),
+		applied:    n.applied,
+		base:       n.journal.Snapshot(),
+		entries:    entries,
+		first:      log.prefixIndex + 1,
+		changed:    changed,
+		promotable: n.core.Promotable(),
+	})
+}
--- /dev/null
+++ b/internal/replicator/step.go
@@ -0,0 +1,197 @@
+package replicator
+
+import (
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// Step takes one message from another replica.
+func (c *Core) Step(now timekeeper.Millis, m Message) {
+	c.now = max(c.now, now)
+	if m.To != c.id {
+		return // meant for an identity that this data folder no longer has
+	}
+	if m.Kind == VoteRequest || m.Kind == PreVoteRequest {
+		c.stepVoteRequest(m)
+		return
+	}
+	if m.Term < c.term {
+		c.rejectOldTerm(m)
+		return
+	}
+	if m.Term > c.term && m.Kind != PreVoteResponse {
+		c.becomeFollower(m.Term, 0)
+	}
+	switch m.Kind {
+	case AppendRequest:
+		c.followLeader(m.From)
+		c.stepAppend(m)
+	case SnapshotRequest:
+		c.followLeader(m.From)
+		c.stepSnapshot(m)
+	case AppendResponse:
+		c.stepAppendResponse(m)
+	case PreVoteResponse:
+		c.stepVoteResponse(m, PreCandidate)
+	case VoteResponse:
+		c.stepVoteResponse(m, Candidate)
+	case TimeoutNow:
+		if c.log.membership().IsVoter(c.id) {
+			c.campaign(Candidate, true)
+		}
+	}
+}
+
+// rejectOldTerm tells a deposed leader the present term.
+func (c *Core) rejectOldTerm(m Message) {
+	if m.Kind == AppendRequest || m.Kind == SnapshotRequest {
+		c.send(Message{Kind: AppendResponse, To: m.From, Reject: true, Index: m.Index, Hint: c.log.last()})
+	}
+}
+
+func (c *Core) followLeader(leader ReplicaID) {
+	if c.role != Follower || c.leader != leader {
+		c.becomeFollower(c.term, leader)
+	}
+	c.leaderHeard = c.now
+	c.resetElection()
+}
+
+// stepVoteRequest refuses while a leader is heard, unless that leader itself hands over.
+func (c *Core) stepVoteRequest(m Message) {
+	leased := c.role == Leader || c.leader != 0 && c.now-c.leaderHeard < c.timing.Election
+	if leased && !m.Handover {
+		return
+	}
+	upToDate := m.LogTerm > c.log.lastTerm() || m.LogTerm == c.log.lastTerm() && m.Index >= c.log.last()
+	if m.Kind == PreVoteRequest {
+		if upToDate && m.Term > c.term {
+			c.send(Message{Kind: PreVoteResponse, To: m.From, Term: m.Term})
+			return
+		}
+		c.send(Message{Kind: PreVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	if m.Term > c.term {
+		c.becomeFollower(m.Term, 0)
+	}
+	grant := m.Term == c.term && upToDate && (c.vote == 0 || c.vote == m.From)
+	if grant {
+		c.vote = m.From
+		c.resetElection()
+	}
+	c.send(Message{Kind: VoteResponse, To: m.From, Reject: !grant})
+}
+
+func (c *Core) stepVoteResponse(m Message, expected Role) {
+	if c.role != expected {
+		return
+	}
+	if expected == PreCandidate && m.Reject && m.Term > c.term {
+		c.becomeFollower(m.Term, 0) // the other replica is ahead; the next try starts from its term
+		return
+	}
+	if expected == PreCandidate && m.Term != c.term+1 {
+		return
+	}
+	if !m.Reject {
+		c.votes[m.From] = true
+		c.countVotes(false)
+	}
+}
+
+func (c *Core) stepAppend(m Message) {
+	if m.Index < c.commit {
+		c.acceptAppend(m, c.commit)
+		return
+	}
+	term, held := c.log.term(m.Index)
+	if !held || term != m.LogTerm {
+		hint := c.log.last()
+		if held {
+			hint = c.log.conflictStart(m.Index)
+		}
+		c.send(Message{Kind: AppendResponse, To: m.From, Reject: true, Index: m.Index, Hint: max(hint, c.commit), Round: m.Round})
+		return
+	}
+	matched := m.Index
+	for _, e := range m.Entries {
+		if t, ok := c.log.term(e.Index); !ok || t != e.Term {
+			c.log.append(e)
+			c.handedOut = min(c.handedOut, e.Index-1)
+			c.durable = min(c.durable, e.Index-1)
+		}
+		matched = e.Index
+	}
+	c.acceptAppend(m, matched)
+}
+
+func (c *Core) acceptAppend(m Message, matched uint64) {
+	c.commit = max(c.commit, min(m.Commit, matched))
+	c.send(Message{Kind: AppendResponse, To: m.From, Index: matched, Round: m.Round})
+}
+
+func (c *Core) stepAppendResponse(m Message) {
+	p := c.peers[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.heard = c.now
+	if m.Round > p.round {
+		p.round = m.Round
+		c.confirmReads()
+	}
+	if m.Reject {
+		c.stepReject(p, m)
+		return
+	}
+	if m.Index > p.match {
+		p.match = m.Index
+		p.snapshotTill = 0
+		c.advanceCommit()
+	}
+	p.next = max(p.next, p.match+1)
+	if c.transferee == m.From {
+		c.finishTransfer()
+	}
+	if p.next <= c.log.last() {
+		c.sendAppend(m.From)
+	}
+}
+
+// stepReject goes back to where the follower's log may agree; a rejection of what is known to match is old.
+func (c *Core) stepReject(p *progress, m Message) {
+	if m.Index <= p.match {
+		return
+	}
+	next := max(min(m.Index, m.Hint+1), p.match+1)
+	if next >= p.next && m.Index != c.log.last()+1 {
+		return
+	}
+	p.next = next
+	if _, held := c.log.term(p.next - 1); held || c.now >= p.snapshotTill {
+		c.sendAppend(m.From)
+	}
+}
+
+func (c *Core) stepSnapshot(m Message) {
+	s := m.Snapshot
+	if s == nil || s.Index <= c.commit {
+		c.send(Message{Kind: AppendResponse, To: m.From, Index: c.commit})
+		return
+	}
+	members, err := decodeMembership(s.Members)
+	if err != nil {
+		return
+	}
+	c.log.reset(*s, members)
+	c.commit, c.delivered, c.durable, c.handedOut = s.Index, s.Index, s.Index, s.Index
+	c.installed = s
+	c.send(Message{Kind: AppendResponse, To: m.From, Index: s.Index})
+}
+
+// NewestSnapshot completes a SnapshotRequest, which Core sends without content, with what the driver holds.
+func NewestSnapshot(m Message, s journaler.Snapshot) Message {
+	m.Snapshot = &s
+	return m
+}
--- /dev/null
+++ b/internal/scheduler/check_test.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import "fmt"
+
+// checkInvariants recomputes from a dump, without the state's indexes, what must hold after every step.
+func checkInvariants(d Dump) error {
+	workers := map[string]DumpedWorker{}
+	for _, w := range d.Workers {
+		workers[w.Worker.ID] = w
+	}
+	jobs := map[string]Job{}
+	for _, j := range d.Jobs {
+		jobs[j.Spec.ID] = j
+	}
+	for _, check := range []func(Dump, map[string]DumpedWorker, map[string]Job) error{
+		checkCapacity, checkBindings, checkSlotJobs, checkReclaimable, checkGangs,
+	} {
+		if err := check(d, workers, jobs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func holds(j Job) bool {
+	return j.Phase == PhaseArming || j.Phase == PhaseRunning || j.Phase == PhaseStopping
+}
+
+func checkCapacity(d Dump, workers map[string]DumpedWorker, _ map[string]Job) error {
+	used, cores := map[string]int{}, map[string]int{}
+	for _, j := range d.Jobs {
+		for i, p := range j.Placement {
+			if holds(j) && !j.Left.has(i) {
+				used[p.Worker] += p.Members * j.Spec.Demand.Accelerators
+				cores[p.Worker] += p.Members * j.Spec.Demand.Cores
+			}
+		}
+	}
+	for id, n := range used {
+		if w := workers[id].Worker; n > w.Accelerators || cores[id] > w.Cores {
+			return fmt.Errorf("worker %s: %d accelerators and %d cores in use of %d and %d", id, n, cores[id], w.Accelerators, w.Cores)
+		}
+	}
+	return nil
+}
+
+func checkBindings(d Dump, workers map[string]DumpedWorker, _ map[string]Job) error {
+	bound := map[string]int{}
+	for _, s := range d.Slots {
+		cells := map[string]bool{}
+		for _, p := range s.Binding {
+			bound[p.Worker] += p.Members * s.Demand.Accelerators
+			cells[workers[p.Worker].Worker.Cell(s.Demand.Within)] = true
+		}
+		if len(cells) > 1 {
+			return fmt.Errorf("slot %v is bound across %d cells", s.Key, len(cells))
+		}
+	}
+	for id, n := range bound {
+		if n > workers[id].Worker.Accelerators {
+			return fmt.Errorf("worker %s: %d accelerators bound of %d", id, n, workers[id].Worker.Accelerators)
+		}
+	}
+	return nil
+}
+
+// checkSlotJobs checks that jobs under a guarantee lie inside their slot's binding, together.
+func checkSlotJobs(d Dump, workers map[string]DumpedWorker, jobs map[string]Job) error {
+	listed := map[string]SlotKey{}
+	for _, s := range d.Slots {
+		left := map[string]int{}
+		for _, p := range s.Binding {
+			left[p.Worker] = p.Members * s.Demand.Accelerators
+		}
+		for _, id := range s.Jobs {
+			j := jobs[id]
+			listed[id] = s.Key
+			if j.Slot != s.Key {
+				return fmt.Errorf("slot %v lists job %s, which runs under %v", s.Key, id, j.Slot)
+			}
+			if j.Phase == PhaseStopping {
+				continue
+			}
+			for i, p := range j.Placement {
+				left[p.Worker] -= p.Members * j.Spec.Demand.Accelerators
+				if left[p.Worker] < 0 && !j.Left.has(i) && !workers[p.Worker].Lost {
+					return fmt.Errorf("slot %v: job %s exceeds the binding on %s", s.Key, id, p.Worker)
+				}
+			}
+		}
+	}
+	for _, j := range d.Jobs {
+		if (holds(j) || j.Phase == PhaseWaiting) && j.Slot.Number > 0 && listed[j.Spec.ID] != j.Slot {
+			return fmt.Errorf("job %s runs under slot %v, which does not list it", j.Spec.ID, j.Slot)
+		}
+	}
+	return nil
+}
+
+// checkReclaimable checks that on every worker the whole of the bound shapes can be had by stopping only what may
+// be stopped: what may not be stopped must lie inside its own slot.
+func checkReclaimable(d Dump, _ map[string]DumpedWorker, _ map[string]Job) error {
+	for _, j := range d.Jobs {
+		if holds(j) && j.Phase != PhaseStopping && j.Borrowed() && !j.Spec.Repeatable {
+			return fmt.Errorf("job %s may not be stopped and runs outside a guarantee", j.Spec.ID)
+		}
+	}
+	return nil
+}
+
+// checkGangs checks that a gang is placed whole in one cell, and runs only when every member was armed.
+func checkGangs(d Dump, workers map[string]DumpedWorker, _ map[string]Job) error {
+	for _, j := range d.Jobs {
+		if j.Phase == PhaseQueued || j.Phase == PhaseEnded {
+			if len(j.Placement) != 0 {
+				return fmt.Errorf("job %s is %v and holds a placement", j.Spec.ID, j.Phase)
+			}
+			continue
+		}
+		cells := map[string]bool{}
+		for _, p := range j.Placement {
+			cells[workers[p.Worker].Worker.Cell(j.Spec.Demand.Within)] = true
+		}
+		if j.Placement.Members() != j.Spec.Demand.Members || len(cells) != 1 {
+			return fmt.Errorf("job %s: %d of %d members placed, in %d cells", j.Spec.ID, j.Placement.Members(), j.Spec.Demand.Members, len(cells))
+		}
+		if j.Phase == PhaseRunning && !j.Armed.full(len(j.Placement)) {
+			return fmt.Errorf("job %s runs with members not armed", j.Spec.ID)
+		}
+		if j.End == EndNotRun && j.EverStarted {
+			return fmt.Errorf("job %s is told as not run, but was started", j.Spec.ID)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/dispatch.go
@@ -0,0 +1,241 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+)
+
+// backfillDepth bounds the jobs of one workspace and class that a pass looks at behind one that does not fit.
+const backfillDepth = 128
+
+// schedule starts waiting jobs whose accelerators came free, then places queued ones.
+func (t *step) schedule() {
+	t.mendFreedSlots()
+	t.armWaiting()
+	if t.retry {
+		t.placeQueued()
+		return
+	}
+	for _, id := range t.fresh {
+		if j := t.mustJob(id); j.Phase == PhaseQueued && t.mayPassQueue(j) {
+			t.tryPlace(j)
+		}
+	}
+}
+
+// mayPassQueue reports whether a new job may be placed without a look at the jobs before it: they were tried when
+// accelerators last came free, and did not fit.
+func (t *step) mayPassQueue(j *Job) bool {
+	if j.Spec.Class == ClassBatch && t.policy.HoldBatch {
+		return false
+	}
+	if !t.policy.StrictOrder {
+		return true
+	}
+	it := t.queue.Iterator()
+	key, _, _ := it.Next()
+	return key.job == j.Spec.ID
+}
+
+// mendFreedSlots tries again to bind short slots once one more slot may move.
+func (t *step) mendFreedSlots() {
+	if t.idled && t.usesSlots() && len(t.shortSlots()) > 0 {
+		t.mendSlots()
+		t.retry = true
+	}
+}
+
+func (t *step) armWaiting() {
+	if len(t.freed) == 0 || t.waiting.Len() == 0 {
+		return
+	}
+	for it := t.waiting.Iterator(); !it.Done(); {
+		id, _, _ := it.Next()
+		if j := t.mustJob(id); j.Phase == PhaseWaiting && t.isFree(j.Spec.Demand, j.Placement) {
+			t.arm(j, j)
+		}
+	}
+}
+
+// isFree reports whether nothing uses the accelerators and cores of a placement.
+func (t *step) isFree(d placer.Demand, p placer.Placement) bool {
+	for _, part := range p {
+		load, _ := t.cells.Load(part.Worker)
+		if load.Worker.Accelerators-load.Used < part.Members*d.Accelerators ||
+			load.Worker.Cores-load.UsedCores < part.Members*d.Cores {
+			return false
+		}
+	}
+	return true
+}
+
+// blockKey names jobs of which, in one pass, one fits when another does.
+type blockKey struct {
+	demand     placer.Demand
+	workspace  string
+	class      Class
+	repeatable bool
+	checkpoint bool
+}
+
+func blockKeyOf(j *Job) blockKey {
+	return blockKey{j.Spec.Demand, j.Spec.Workspace, j.Spec.Class, j.Spec.Repeatable, j.Spec.Checkpoint}
+}
+
+// placeQueued tries queued jobs, class by class, in each class the workspace that borrows least first.
+func (t *step) placeQueued() {
+	blocked := map[blockKey]bool{}
+	for class := ClassUrgent; class < classes; class++ {
+		if class == ClassBatch && t.policy.HoldBatch {
+			return
+		}
+		heads := t.heads(class)
+		for len(heads) > 0 {
+			i := t.leastBorrowing(heads)
+			if !t.placeNext(heads[i], blocked) {
+				heads = slices.Delete(heads, i, i+1)
+			}
+			if t.policy.StrictOrder && len(heads) == 0 && t.queue.Len() > 0 {
+				return
+			}
+		}
+	}
+}
+
+// head is one workspace's queue of a class during a pass.
+type head struct {
+	workspace string
+	jobs      []string
+	next      int
+}
+
+// heads collects the queues of a class, each up to backfillDepth jobs.
+func (t *step) heads(class Class) []*head {
+	var found []*head
+	it := t.queue.Iterator()
+	it.Seek(queueKey{class: class})
+	for !it.Done() {
+		key, _, _ := it.Next()
+		if key.class != class {
+			break
+		}
+		if len(found) == 0 || found[len(found)-1].workspace != key.workspace {
+			found = append(found, &head{workspace: key.workspace})
+		}
+		h := found[len(found)-1]
+		if len(h.jobs) < backfillDepth {
+			h.jobs = append(h.jobs, key.job)
+			continue
+		}
+		it.Seek(queueKey{class: class, workspace: key.workspace + "\x00"})
+	}
+	return found
+}
+
+func (t *step) leastBorrowing(heads []*head) int {
+	best, bestShare := 0, 0.0
+	for i, h := range heads {
+		share := 0.0
+		if a, ok := t.accounts.Get(h.workspace); ok {
+			share = float64(a.Borrowed) / float64(a.Workspace.Weight)
+		}
+		if i == 0 || share < bestShare {
+			best, bestShare = i, share
+		}
+	}
+	return best
+}
+
+// placeNext places the next job of a queue that fits; it returns false when there is none.
+func (t *step) placeNext(h *head, blocked map[blockKey]bool) bool {
+	for h.next < len(h.jobs) {
+		j := t.mustJob(h.jobs[h.next])
+		h.next++
+		if j.Phase != PhaseQueued || blocked[blockKeyOf(j)] {
+			continue
+		}
+		if t.tryPlace(j) {
+			return true
+		}
+		if t.policy.StrictOrder {
+			return false
+		}
+		blocked[blockKeyOf(j)] = true
+	}
+	return false
+}
+
+// tryPlace places a queued job if the policy finds a place, stopping others where the job has a claim to theirs.
+func (t *step) tryPlace(j *Job) bool {
+	switch t.policy.Guarantee {
+	case GuaranteeNone:
+		return t.borrow(j)
+	case GuaranteeCounts:
+		return t.useQuota(j) || t.borrow(j)
+	case GuaranteeStatic:
+		return t.useSlot(j, false)
+	}
+	if t.useSlot(j, false) {
+		return true
+	}
+	if j.Spec.Class == ClassBatch && t.borrow(j) {
+		return true
+	}
+	return t.useSlot(j, true) || t.borrow(j)
+}
+
+// find searches free accelerators as the policy says.
+func (t *step) find(d placer.Demand, q placer.Quantity) (placer.Placement, bool) {
+	if t.policy.FirstFit {
+		return t.cells.FirstFit(d, q)
+	}
+	return t.cells.Place(d, q)
+}
+
+// borrow places a job on free accelerators, whoever is guaranteed them. What may not be stopped does not borrow.
+func (t *step) borrow(j *Job) bool {
+	if !j.Spec.Repeatable && t.policy.Guarantee == GuaranteeShapes {
+		return false
+	}
+	p, ok := t.find(j.Spec.Demand, placer.ByFree)
+	if !ok {
+		return t.backfill(j)
+	}
+	t.place(j, p, SlotKey{}, 0)
+	return true
+}
+
+// place gives a queued job a placement: it arms at once where all is free, else it waits. It becomes ripe when
+// others may be stopped for it; zero means that they were.
+func (t *step) place(j *Job, p placer.Placement, slot SlotKey, ripe int64) {
+	next := *j
+	next.Phase, next.Placement, next.Slot = PhaseWaiting, p, slot
+	next.RipeAt = millis(ripe)
+	if t.isFree(j.Spec.Demand, p) {
+		t.arm(j, &next)
+		return
+	}
+	t.change(j, &next)
+	t.decide(DecidePlace, &next, ripe == 0)
+}
+
+// useQuota places a job within its workspace's number of accelerators, stopping borrowers where it must.
+func (t *step) useQuota(j *Job) bool {
+	a, ok := t.accounts.Get(j.Spec.Workspace)
+	if !ok || a.Running-a.Borrowed+j.Spec.Demand.Total() > a.Workspace.Accelerators() {
+		return false
+	}
+	quota := SlotKey{Workspace: j.Spec.Workspace}
+	if p, ok := t.find(j.Spec.Demand, placer.ByFree); ok {
+		t.place(j, p, quota, 0)
+		return true
+	}
+	plan, ok := t.planCell(j, 0)
+	if !ok {
+		return false
+	}
+	t.evictAll(plan.victims)
+	t.place(j, plan.placement, quota, 0)
+	return true
+}
--- /dev/null
+++ b/internal/scheduler/lifecycle.go
@@ -0,0 +1,353 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/bits"
+
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	// reviewEvery is the time between looks at a gang that waits, for a reservation or a move of smaller jobs.
+	reviewEvery = 15 * timekeeper.Second
+	// expectedQuantile is the quantile of observed run times that orders batch jobs.
+	expectedQuantile = 0.5
+	// maxRefusals is the number of attempts that may fail to arm before a job ends.
+	maxRefusals = 10
+)
+
+// submit takes a job, or refuses one that can never run.
+func (t *step) submit(spec JobSpec) error {
+	if _, known := t.jobs.Get(spec.ID); known {
+		return refusal("job %s: already submitted", spec.ID)
+	}
+	if _, ok := t.accounts.Get(spec.Workspace); !ok {
+		return refusal("workspace %q: not known", spec.Workspace)
+	}
+	if spec.Class >= classes {
+		return refusal("class: unknown value %d", spec.Class)
+	}
+	if err := spec.Demand.Validate(); err != nil {
+		return refusal("demand.%v", err)
+	}
+	j := &Job{Spec: spec, Submitted: t.now}
+	if reason := t.neverRuns(spec); reason != "" {
+		t.endJob(nil, j, EndNotRun, reason)
+		t.decide(DecideRefuse, t.mustJob(spec.ID), false)
+		return nil
+	}
+	t.enqueue(nil, j)
+	return nil
+}
+
+// neverRuns returns why a job can never run, or nothing.
+func (t *step) neverRuns(spec JobSpec) string {
+	if !t.cells.Feasible(spec.Demand) {
+		return "no " + spec.Demand.Within.String() + " of the declared topology holds the whole gang"
+	}
+	if t.policy.Guarantee == GuaranteeNone || t.policy.Guarantee == GuaranteeCounts {
+		return ""
+	}
+	if spec.Repeatable && t.policy.Guarantee != GuaranteeStatic {
+		return ""
+	}
+	fits := false
+	t.slotsOf(spec.Workspace, func(slot Slot) bool {
+		fits = t.slotHolds(slot, spec)
+		return !fits
+	})
+	if !fits {
+		return "a job that may not be repeated runs only inside its workspace's guarantee, and no guaranteed shape holds it"
+	}
+	return ""
+}
+
+// shapeHolds reports whether a gang of demand d can run inside a guaranteed gang of the given shape.
+func shapeHolds(shape, d placer.Demand) bool {
+	if d.Accelerators == 0 || d.Within < shape.Within && shape.Members > 1 && d.Members > 1 && d.Total() > shape.Accelerators {
+		return false
+	}
+	perMember := shape.Accelerators / d.Accelerators
+	return perMember*shape.Members >= d.Members
+}
+
+// slotHolds reports whether the job could run in the slot if the slot's other jobs were gone. A slot that is short
+// counts by its shape, since it is to be mended.
+func (t *step) slotHolds(slot Slot, spec JobSpec) bool {
+	if slot.Short() > 0 {
+		return shapeHolds(slot.Demand, spec.Demand) && t.coresGuaranteed(spec.Demand)
+	}
+	empty := Slot{Key: slot.Key, Demand: slot.Demand}
+	_, ok := t.insideBinding(&Job{Spec: spec}, empty, slot.Binding, false)
+	return ok
+}
+
+// coresGuaranteed reports whether some worker has the demanded cores beside the demanded accelerators.
+func (t *step) coresGuaranteed(d placer.Demand) bool {
+	found := false
+	t.cells.Loads(func(l placer.Load) {
+		found = found || withinCoreShare(d, l.Worker)
+	})
+	return found
+}
+
+func (t *step) mustJob(id string) *Job {
+	j, _ := t.jobs.Get(id)
+	return j
+}
+
+// enqueue puts a job that holds nothing into the queue.
+func (t *step) enqueue(old *Job, j *Job) {
+	next := *j
+	next.Phase = PhaseQueued
+	next.Enqueued = t.now
+	next.Placement, next.Slot, next.Armed, next.Left = nil, SlotKey{}, nil, nil
+	next.Cause, next.WasLost, next.RipeAt, next.StopBy, next.Started = stopNone, false, 0, 0, 0
+	next.Rank = t.rank(next.Spec)
+	t.change(old, &next)
+	t.fresh = append(t.fresh, next.Spec.ID)
+	t.setTimer(t.now+reviewEvery, timerReview, next.Spec.ID, next.Attempt)
+}
+
+// rank orders batch jobs of a workspace by the power of two of their expected run time.
+func (t *step) rank(spec JobSpec) int {
+	if !t.policy.ShortestFirst || spec.Class != ClassBatch {
+		return 0
+	}
+	return bits.Len64(uint64(t.expectedRun(spec)))
+}
+
+func (t *step) expectedRun(spec JobSpec) timekeeper.Millis {
+	a, ok := t.accounts.Get(spec.Workspace)
+	if !ok {
+		return spec.Declared
+	}
+	return a.RunTimes[spec.Class].Estimate(spec.Declared, expectedQuantile)
+}
+
+func (t *step) endJob(old, j *Job, end End, reason string) {
+	next := *j
+	next.Phase, next.End, next.Reason, next.EndedAt = PhaseEnded, end, reason, t.now
+	next.Placement, next.Slot = nil, SlotKey{}
+	t.change(old, &next)
+	if old != nil {
+		t.decide(DecideEnd, &next, false)
+	}
+}
+
+// cancel ends jobs that hold nothing at once and stops the others.
+func (t *step) cancel(ids []string) {
+	for _, id := range ids {
+		j, ok := t.jobs.Get(id)
+		if !ok {
+			continue
+		}
+		switch j.Phase {
+		case PhaseQueued, PhaseWaiting:
+			t.endJob(j, j, endOfCancelled(j), "cancelled")
+		case PhaseArming, PhaseRunning, PhaseStopping:
+			t.stop(j, stopCancelled)
+		}
+	}
+}
+
+func endOfCancelled(j *Job) End {
+	if j.EverStarted {
+		return EndStopped
+	}
+	return EndNotRun
+}
+
+// stop tells the members of a placed job to stop. A cancellation wins over other causes, a failure over
+// preemption.
+func (t *step) stop(j *Job, cause stopCause) {
+	next := *j
+	if j.Phase == PhaseStopping {
+		if cause == stopCancelled && j.Cause != stopCancelled {
+			next.Cause = cause
+			t.change(j, &next)
+		}
+		return
+	}
+	next.Phase, next.Cause = PhaseStopping, cause
+	next.StopBy = t.now + t.policy.Grace
+	t.change(j, &next)
+	t.decide(DecideStop, &next, false)
+}
+
+// arm gives a placed job its accelerators, all of which are free.
+func (t *step) arm(old, j *Job) {
+	next := *j
+	next.Phase = PhaseArming
+	next.Attempt++
+	next.Armed, next.Left = nil, nil
+	next.SavedNow = maxSaved
+	t.change(old, &next)
+	t.decide(DecideArm, &next, j.RipeAt == 0 && j.Phase == PhaseWaiting)
+	t.setTimer(t.now+t.policy.ArmBound, timerArm, next.Spec.ID, next.Attempt)
+}
+
+// current returns the job that a report is about, or nil when the report is old.
+func (t *step) current(r MemberReport) (*Job, int) {
+	j, ok := t.jobs.Get(r.Job)
+	if !ok || j.Attempt != r.Attempt {
+		return nil, 0
+	}
+	i := j.partOf(r.Worker)
+	if i < 0 || j.Left.has(i) {
+		return nil, 0
+	}
+	return j, i
+}
+
+func (t *step) memberArmed(r MemberReport) error {
+	j, i := t.current(r)
+	if j == nil || j.Phase != PhaseArming {
+		return nil
+	}
+	next := *j
+	next.Armed = j.Armed.with(i)
+	if !next.Armed.full(len(next.Placement)) {
+		t.change(j, &next)
+		return nil
+	}
+	next.Phase, next.Started, next.EverStarted = PhaseRunning, t.now, true
+	t.change(j, &next)
+	t.decide(DecideStart, &next, false)
+	return nil
+}
+
+// memberRefused ends an attempt in which a worker could not arm; the refusing worker holds nothing.
+func (t *step) memberRefused(r MemberReport) error {
+	j, i := t.current(r)
+	if j == nil || j.Phase != PhaseArming && j.Phase != PhaseStopping {
+		return nil
+	}
+	// Arming runs nothing of the job, so that each refusal counts against the worker, of the same job too.
+	t.noteFailure(r.Worker, fmt.Sprintf("%s#%d", j.Spec.ID, j.Attempt))
+	t.stop(j, stopUnarmed)
+	t.leave(t.mustJob(r.Job), i, OutcomeStopped, 0)
+	return nil
+}
+
+func (t *step) memberEnded(r MemberReport) error {
+	j, i := t.current(r)
+	if j == nil || j.Phase == PhaseQueued || j.Phase == PhaseWaiting {
+		return nil
+	}
+	switch {
+	case r.Outcome == OutcomeFailed:
+		t.noteFailure(r.Worker, r.Job)
+		t.stop(j, stopFailed)
+	case r.Outcome == OutcomeStopped && j.Phase == PhaseArming:
+		t.stop(j, stopUnarmed)
+	case r.Outcome == OutcomeStopped && j.Phase == PhaseRunning:
+		t.stop(j, stopLost) // its lease ended or the platform stopped it
+	case r.Outcome == OutcomeFinished:
+		t.noteSuccess(r.Worker)
+	}
+	t.leave(t.mustJob(r.Job), i, r.Outcome, r.Saved)
+	return nil
+}
+
+// leave notes that the members of part i hold nothing any more, and concludes the attempt with the last part.
+func (t *step) leave(j *Job, i int, outcome Outcome, saved timekeeper.Millis) {
+	next := *j
+	next.Left = j.Left.with(i)
+	if outcome != OutcomeFinished {
+		next.SavedNow = min(next.SavedNow, saved)
+	}
+	if outcome == OutcomeFinished {
+		next.Finished++
+	}
+	t.change(j, &next)
+	if next.Left.full(len(next.Placement)) {
+		t.conclude(&next)
+	}
+}
+
+// conclude decides what becomes of a job whose members all hold nothing.
+func (t *step) conclude(j *Job) {
+	next := *j
+	if j.Finished == len(j.Placement) {
+		t.observeRun(j)
+		t.endJob(j, &next, EndFinished, "")
+		return
+	}
+	if j.Started > 0 && j.SavedNow < maxSaved {
+		next.Saved += j.SavedNow
+	}
+	next.Finished = 0
+	switch j.Cause {
+	case stopCancelled:
+		t.endCancelled(j, &next)
+	case stopFailed:
+		t.concludeFailed(j, &next)
+	case stopLost:
+		t.concludeLost(j, &next)
+	case stopPreempted:
+		next.Preempted++
+		t.requeue(j, &next)
+	default:
+		t.concludeUnarmed(j, &next)
+	}
+}
+
+func (t *step) concludeUnarmed(j, next *Job) {
+	next.Refusals++
+	if next.Refusals < maxRefusals {
+		t.requeue(j, next)
+		return
+	}
+	end := EndNotRun
+	if j.EverStarted {
+		end = EndFailed
+	}
+	t.endJob(j, next, end, "its members could not be armed in any attempt")
+}
+
+// endCancelled tells "stopped" only where no member may have finished unseen.
+func (t *step) endCancelled(j, next *Job) {
+	if j.WasLost && j.Started > 0 && !j.Spec.Repeatable {
+		t.endJob(j, next, EndUnknown, "cancelled, but a worker was lost while the job ran")
+		return
+	}
+	t.endJob(j, next, endOfCancelled(j), "cancelled")
+}
+
+func (t *step) concludeFailed(j, next *Job) {
+	next.Failures++
+	if !j.Spec.Repeatable {
+		t.endJob(j, next, EndFailed, "a member failed and the job may not be repeated")
+		return
+	}
+	if next.Failures >= t.policy.MaxFailures {
+		t.endJob(j, next, EndFailed, "members failed in every attempt")
+		return
+	}
+	t.requeue(j, next)
+}
+
+func (t *step) concludeLost(j, next *Job) {
+	if j.Started > 0 && !j.Spec.Repeatable {
+		t.endJob(j, next, EndUnknown, "a worker was lost while the job ran, and the job may not be repeated")
+		return
+	}
+	t.requeue(j, next)
+}
+
+func (t *step) requeue(j, next *Job) {
+	t.enqueue(j, next)
+	t.decide(DecideRequeue, t.mustJob(j.Spec.ID), false)
+}
+
+func (t *step) observeRun(j *Job) {
+	a, ok := t.accounts.Get(j.Spec.Workspace)
+	if !ok {
+		return
+	}
+	next := *a
+	next.RunTimes[j.Spec.Class] = a.RunTimes[j.Spec.Class].WithObservation(j.Saved + t.now - j.Started)
+	t.accounts = t.accounts.Set(j.Spec.Workspace, &next)
+}
--- /dev/null
+++ b/internal/scheduler/property_test.go
@@ -0,0 +1,290 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+func testWorkers() []placer.Worker {
+	workers := make([]placer.Worker, 11)
+	for i := range workers {
+		workers[i] = placer.Worker{
+			ID: fmt.Sprintf("w%02d", i), Region: "riga", Zone: fmt.Sprintf("z%d", i/4), Rack: fmt.Sprintf("r%d", i/3),
+			Accelerators: 8, Cores: 64,
+		}
+	}
+	return workers
+}
+
+func testWorkspaces() []Workspace {
+	gang := func(count, members, accelerators int, within placer.Level) Shape {
+		return Shape{Count: count, Demand: placer.Demand{Members: members, Accelerators: accelerators, Within: within}}
+	}
+	return []Workspace{
+		{Name: "planner", Guarantee: []Shape{gang(2, 1, 8, placer.LevelWorker), gang(1, 2, 8, placer.LevelRack)}},
+		{Name: "tickets", Guarantee: []Shape{gang(4, 1, 2, placer.LevelWorker)}},
+		{Name: "photos", Guarantee: []Shape{gang(1, 3, 8, placer.LevelRack)}},
+	}
+}
+
+func mustStep(t interface{ Fatalf(string, ...any) }, s State, at timekeeper.Millis, e Event) (State, Output) {
+	next, out := s.Step(at, e)
+	if out.Err != nil {
+		t.Fatalf("step %+v: %v", e, out.Err)
+	}
+	return next, out
+}
+
+func newTestState(t interface{ Fatalf(string, ...any) }, policy Policy) State {
+	s := NewState(policy)
+	for _, w := range testWorkers() {
+		s, _ = mustStep(t, s, 0, Event{WorkerJoined: &w})
+	}
+	for _, w := range testWorkspaces() {
+		s, _ = mustStep(t, s, 0, Event{WorkspaceSet: &w})
+	}
+	return s
+}
+
+// fakeWorld stands for agents and the platform: it holds what each worker was told and answers in any order.
+type fakeWorld struct {
+	state State
+	now   timekeeper.Millis
+	jobs  []string
+	down  map[string]bool
+	ends  map[string]End
+}
+
+func (w *fakeWorld) step(t *rapid.T, e Event) {
+	before := w.state
+	next, out := w.state.Step(w.now, e)
+	w.state = next
+	if err := checkInvariants(next.Dump()); err != nil {
+		t.Fatalf("after %s: %v", describe(e), err)
+	}
+	for _, d := range out.Decisions {
+		w.checkDecision(t, d)
+	}
+	checkTouched(t, before, next, out)
+}
+
+func describe(e Event) string {
+	switch {
+	case e.JobSubmitted != nil:
+		return fmt.Sprintf("submit %+v", *e.JobSubmitted)
+	case e.MemberEnded != nil:
+		return fmt.Sprintf("ended %+v", *e.MemberEnded)
+	case e.WorkerLost != nil:
+		return fmt.Sprintf("lost %+v", *e.WorkerLost)
+	}
+	return fmt.Sprintf("%+v", e)
+}
+
+func (w *fakeWorld) checkDecision(t *rapid.T, d Decision) {
+	if d.Kind != DecideEnd && d.Kind != DecideRefuse {
+		return
+	}
+	if had, twice := w.ends[d.Job.Spec.ID]; twice {
+		t.Fatalf("job %s ended twice: %v, then %v", d.Job.Spec.ID, had, d.Job.End)
+	}
+	w.ends[d.Job.Spec.ID] = d.Job.End
+}
+
+// checkTouched checks that every worker whose members differ is named, since agents are told only then.
+func checkTouched(t *rapid.T, before, after State, out Output) {
+	for _, worker := range testWorkers() {
+		if slices.Contains(out.Touched, worker.ID) {
+			continue
+		}
+		if diff := cmp.Diff(orders(before, worker.ID), orders(after, worker.ID)); diff != "" {
+			t.Fatalf("worker %s changed untold (-before +after):\n%s", worker.ID, diff)
+		}
+	}
+}
+
+func orders(s State, worker string) map[string]string {
+	found := map[string]string{}
+	for _, j := range s.JobsOn(worker) {
+		found[j.Spec.ID] = fmt.Sprintf("%v/%d/%v", j.Phase, j.Attempt, j.Cause)
+	}
+	return found
+}
+
+func drawSpec(t *rapid.T, id string) JobSpec {
+	return JobSpec{
+		ID:        id,
+		Workspace: rapid.SampledFrom([]string{"planner", "tickets", "photos"}).Draw(t, "workspace"),
+		Class:     Class(rapid.IntRange(0, 2).Draw(t, "class")),
+		Demand: placer.Demand{
+			Members:      rapid.SampledFrom([]int{1, 1, 1, 2, 3, 24}).Draw(t, "members"),
+			Accelerators: rapid.SampledFrom([]int{0, 1, 2, 4, 8, 9}).Draw(t, "accelerators"),
+			Cores:        rapid.SampledFrom([]int{1, 4, 16}).Draw(t, "cores"),
+			Within:       placer.Level(rapid.IntRange(0, int(placer.LevelCluster)).Draw(t, "within")),
+		},
+		Declared:   timekeeper.Millis(rapid.IntRange(0, 3_600_000).Draw(t, "declared")),
+		Checkpoint: rapid.Bool().Draw(t, "checkpoint"),
+		Repeatable: rapid.IntRange(0, 4).Draw(t, "repeatable") > 0,
+	}
+}
+
+// act makes one random thing happen.
+func (w *fakeWorld) act(t *rapid.T) {
+	w.now += timekeeper.Millis(rapid.SampledFrom([]int{0, 1, 500, 20_000, 600_000}).Draw(t, "pause"))
+	switch rapid.IntRange(0, 9).Draw(t, "action") {
+	case 0, 1, 2:
+		id := fmt.Sprintf("j%03d", len(w.jobs))
+		w.jobs = append(w.jobs, id)
+		spec := drawSpec(t, id)
+		w.step(t, Event{JobSubmitted: &spec})
+	case 3, 4, 5, 6:
+		w.report(t)
+	case 7:
+		w.step(t, Event{TimePassed: &TimePassed{}})
+	case 8:
+		w.toggleWorker(t)
+	case 9:
+		w.cancelWave(t)
+	}
+}
+
+func (w *fakeWorld) toggleWorker(t *rapid.T) {
+	worker := rapid.SampledFrom(testWorkers()).Draw(t, "worker")
+	if w.down[worker.ID] {
+		delete(w.down, worker.ID)
+		w.step(t, Event{WorkerJoined: &worker})
+		return
+	}
+	if rapid.IntRange(0, 3).Draw(t, "drain") == 0 {
+		w.step(t, Event{WorkerDrained: &WorkerDrained{Worker: worker.ID, Drained: rapid.Bool().Draw(t, "drained"), Evict: rapid.Bool().Draw(t, "evict")}})
+		return
+	}
+	if len(w.down) < 4 {
+		w.down[worker.ID] = true
+		w.step(t, Event{WorkerLost: &WorkerLost{Worker: worker.ID}})
+	}
+}
+
+func (w *fakeWorld) cancelWave(t *rapid.T) {
+	var wave []string
+	for _, id := range w.jobs {
+		if rapid.IntRange(0, 3).Draw(t, "cancel") == 0 {
+			wave = append(wave, id)
+		}
+	}
+	w.step(t, Event{JobsCancelled: &JobsCancelled{Jobs: wave}})
+}
+
+// report makes one member answer what it was told, sometimes under an old attempt.
+func (w *fakeWorld) report(t *rapid.T) {
+	var reports []Event
+	for _, id := range w.jobs {
+		if j, ok := w.state.Job(id); ok {
+			reports = append(reports, w.reportsOf(t, j)...)
+		}
+	}
+	if len(reports) > 0 {
+		w.step(t, rapid.SampledFrom(reports).Draw(t, "report"))
+	}
+}
+
+func (w *fakeWorld) reportsOf(t *rapid.T, j *Job) []Event {
+	var reports []Event
+	for _, p := range j.Placement {
+		r := MemberReport{Job: j.Spec.ID, Attempt: j.Attempt, Worker: p.Worker}
+		switch j.Phase {
+		case PhaseArming:
+			reports = append(reports, Event{MemberArmed: &r}, Event{MemberArmed: &r}, Event{MemberArmed: &r}, Event{MemberRefused: &r})
+		case PhaseRunning:
+			failed := r
+			failed.Outcome = OutcomeFailed
+			reports = append(reports, Event{MemberEnded: &r}, Event{MemberEnded: &r}, Event{MemberEnded: &failed})
+		case PhaseStopping:
+			stopped := r
+			stopped.Outcome = OutcomeStopped
+			old := stopped
+			old.Attempt--
+			reports = append(reports, Event{MemberEnded: &stopped}, Event{MemberEnded: &old})
+		}
+	}
+	return reports
+}
+
+// settle lets everything run to its end: no faults, no new jobs.
+func (w *fakeWorld) settle(t *rapid.T) {
+	for _, worker := range testWorkers() {
+		w.step(t, Event{WorkerJoined: &worker})
+		w.step(t, Event{WorkerDrained: &WorkerDrained{Worker: worker.ID}})
+	}
+	for range 400 {
+		for w.obeyAll(t) {
+		}
+		if w.allEnded() {
+			return
+		}
+		w.now += timekeeper.Minute
+		w.step(t, Event{TimePassed: &TimePassed{}})
+	}
+}
+
+func (w *fakeWorld) allEnded() bool {
+	return !slices.ContainsFunc(w.jobs, func(id string) bool { return w.ends[id] == EndNone })
+}
+
+// obeyAll lets every placed job take one step and reports whether there was one.
+func (w *fakeWorld) obeyAll(t *rapid.T) bool {
+	busy := false
+	for _, id := range w.jobs {
+		if j, _ := w.state.Job(id); len(j.Placement) > 0 && j.Phase != PhaseWaiting {
+			busy = true
+			w.obey(t, j)
+		}
+	}
+	return busy
+}
+
+func (w *fakeWorld) obey(t *rapid.T, j *Job) {
+	for _, p := range j.Placement {
+		r := MemberReport{Job: j.Spec.ID, Attempt: j.Attempt, Worker: p.Worker}
+		switch j.Phase {
+		case PhaseArming:
+			w.step(t, Event{MemberArmed: &r})
+		case PhaseRunning:
+			w.step(t, Event{MemberEnded: &r})
+		case PhaseStopping:
+			r.Outcome = OutcomeStopped
+			w.step(t, Event{MemberEnded: &r})
+		}
+	}
+}
+
+// TestRandomHistories drives the scheduler through random submissions, reports, losses and cancellations, checks the
+// invariants after every step, and at last that every job reaches exactly one end.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &fakeWorld{
+			state: newTestState(t, DefaultPolicy()), now: 1000,
+			down: map[string]bool{}, ends: map[string]End{},
+		}
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			w.act(t)
+		}
+		again := Restore(w.state.Dump())
+		if diff := cmp.Diff(w.state.Dump(), again.Dump()); diff != "" {
+			t.Fatalf("restored state differs (-state +restored):\n%s", diff)
+		}
+		w.settle(t)
+		for _, id := range w.jobs {
+			if w.ends[id] == EndNone {
+				j, _ := w.state.Job(id)
+				t.Fatalf("job %s never ended: %+v, queue %d", id, *j, w.state.Queued())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/scheduler/reclaim.go
@@ -0,0 +1,319 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// swapCandidates bounds the idle slots of the same shape that a reclaim compares.
+const swapCandidates = 64
+
+func millis(n int64) timekeeper.Millis { return timekeeper.Millis(n) }
+
+// claim is a way to run a job under a guarantee.
+type claim struct {
+	slot      SlotKey
+	rebound   placer.Placement // the slot's new binding, nil to keep the present one
+	swapWith  SlotKey          // the idle slot that takes the old binding, zero for none
+	placement placer.Placement
+	victims   []*Job
+	cost      int64 // accelerator-milliseconds of lost work
+}
+
+// useSlot runs a job inside one of its workspace's guaranteed gangs. Without evict it takes free accelerators
+// only; with it, it stops whoever costs the least work.
+func (t *step) useSlot(j *Job, evict bool) bool {
+	var best *claim
+	t.slotsOf(j.Spec.Workspace, func(slot Slot) bool {
+		if c := t.claimSlot(j, slot, evict); c != nil && (best == nil || c.cost < best.cost) {
+			best = c
+		}
+		return best == nil || best.cost > 0 || len(best.victims) > 0
+	})
+	if best == nil {
+		return false
+	}
+	t.rebind(best)
+	t.evictAll(best.victims)
+	t.makeRoom(j, best)
+	t.place(j, best.placement, best.slot, 0)
+	return true
+}
+
+// makeRoom turns the workspace's own lower classes into borrowers where the job takes their share of the slot and
+// they need not stop for it.
+func (t *step) makeRoom(j *Job, c *claim) {
+	slot := t.slot(c.slot)
+	for _, id := range slices.Clone(slot.Jobs) {
+		if t.fitsSlot(j, t.slot(c.slot), c.placement) {
+			return
+		}
+		other := t.mustJob(id)
+		if other.Spec.Class <= j.Spec.Class || !other.evictable() {
+			continue
+		}
+		next := *other
+		next.Slot = SlotKey{}
+		t.change(other, &next)
+	}
+}
+
+// fitsSlot reports whether the slot's jobs that stay leave room for placement p.
+func (t *step) fitsSlot(j *Job, slot Slot, p placer.Placement) bool {
+	for _, part := range p {
+		load, _ := t.cells.Load(part.Worker)
+		bound := placer.Part{Worker: part.Worker, Members: slot.Binding.On(part.Worker)}
+		if t.roomOn(j, slot, bound, load, false).members < part.Members {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *step) rebind(c *claim) {
+	if c.rebound == nil {
+		return
+	}
+	slot := t.slot(c.slot)
+	old := slot.Binding
+	t.bind(slot, nil)
+	if other, ok := t.slots.Get(c.swapWith); ok {
+		t.bind(other, old)
+	}
+	t.bind(t.slot(c.slot), c.rebound)
+}
+
+// claimSlot returns the cheapest way to run the job inside a slot, or nil.
+func (t *step) claimSlot(j *Job, slot Slot, evict bool) *claim {
+	best := t.claimBinding(j, slot, slot.Binding, evict)
+	if best != nil && len(best.victims) == 0 || len(slot.Jobs) > 0 || !t.policy.Rebind {
+		return best
+	}
+	if !shapeHolds(slot.Demand, j.Spec.Demand) || slot.Short() > 0 {
+		return best
+	}
+	if binding, ok := t.cells.Place(guaranteeDemand(slot.Demand), placer.ByOpen); ok {
+		if c := t.claimBinding(j, slot, binding, evict); c != nil && (best == nil || cheaper(c, best)) {
+			c.rebound = binding
+			best = c
+		}
+	}
+	if best != nil && len(best.victims) == 0 {
+		return best
+	}
+	return t.claimSwap(j, slot, best, evict)
+}
+
+func cheaper(a, b *claim) bool {
+	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(len(a.victims), len(b.victims))) < 0
+}
+
+// claimSwap tries the bindings of idle slots of the same shape, whose owners do not use them now.
+func (t *step) claimSwap(j *Job, slot Slot, best *claim, evict bool) *claim {
+	tried := 0
+	for it := t.slots.Iterator(); !it.Done() && tried < swapCandidates; {
+		key, other, _ := it.Next()
+		if key == slot.Key || len(other.Jobs) > 0 || other.Demand != slot.Demand || other.Short() > 0 {
+			continue
+		}
+		tried++
+		c := t.claimBinding(j, slot, other.Binding, evict)
+		if c != nil && (best == nil || cheaper(c, best)) {
+			c.rebound, c.swapWith = other.Binding, key
+			best = c
+		}
+		if best != nil && len(best.victims) == 0 {
+			break
+		}
+	}
+	return best
+}
+
+// claimBinding returns a way to run the job on the given binding of a slot, or nil.
+func (t *step) claimBinding(j *Job, slot Slot, binding placer.Placement, evict bool) *claim {
+	p, ok := t.insideBinding(j, slot, binding, evict)
+	if !ok {
+		return nil
+	}
+	if !evict {
+		if !t.freeNow(j.Spec.Demand, p) {
+			return nil
+		}
+		return &claim{slot: slot.Key, placement: p}
+	}
+	victims, cost, ok := t.victims(j, slot.Key, p, 0)
+	if !ok {
+		return nil
+	}
+	return &claim{slot: slot.Key, placement: p, victims: victims, cost: cost}
+}
+
+// freeNow reports whether a placement is free and promised to nobody.
+func (t *step) freeNow(d placer.Demand, p placer.Placement) bool {
+	for _, part := range p {
+		load, _ := t.cells.Load(part.Worker)
+		if load.Free() < part.Members*d.Accelerators || load.FreeCores() < part.Members*d.Cores {
+			return false
+		}
+	}
+	return true
+}
+
+// room is what a binding part has left for a job.
+type room struct {
+	worker  string
+	members int
+	free    int // members for which nothing must be stopped
+}
+
+// insideBinding finds a place for the job inside a binding, on parts that other jobs of the slot leave. With evict,
+// the workspace's own jobs of a lower class do not count.
+func (t *step) insideBinding(j *Job, slot Slot, binding placer.Placement, evict bool) (placer.Placement, bool) {
+	d := j.Spec.Demand
+	if d.Accelerators == 0 {
+		return nil, false
+	}
+	groups := map[string][]room{}
+	var order []string
+	for _, part := range binding {
+		load, _ := t.cells.Load(part.Worker)
+		r := t.roomOn(j, slot, part, load, evict)
+		if r.members == 0 {
+			continue
+		}
+		cell := load.Worker.Cell(d.Within)
+		if _, seen := groups[cell]; !seen {
+			order = append(order, cell)
+		}
+		groups[cell] = append(groups[cell], r)
+	}
+	for _, cell := range order {
+		if p, ok := fillRooms(groups[cell], d.Members); ok {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+func (t *step) roomOn(j *Job, slot Slot, part placer.Part, load placer.Load, evict bool) room {
+	d := j.Spec.Demand
+	if !load.Usable || !withinCoreShare(d, load.Worker) {
+		return room{}
+	}
+	left := part.Members * slot.Demand.Accelerators
+	for _, id := range slot.Jobs {
+		other := t.mustJob(id)
+		if other.Phase == PhaseStopping || evict && other.Spec.Class > j.Spec.Class && other.evictable() {
+			continue
+		}
+		left -= other.Placement.On(part.Worker) * other.Spec.Demand.Accelerators
+	}
+	free := min(left, load.Free())
+	return room{part.Worker, max(left, 0) / d.Accelerators, max(free, 0) / d.Accelerators}
+}
+
+// withinCoreShare reports whether a member asks for no more cores than belong to its accelerators: a guarantee covers
+// these and no more, else one workspace's cores could keep another from its accelerators.
+func withinCoreShare(d placer.Demand, w placer.Worker) bool {
+	return w.Accelerators > 0 && d.Cores*w.Accelerators <= d.Accelerators*w.Cores
+}
+
+// fillRooms places members where nothing must be stopped first.
+func fillRooms(rooms []room, members int) (placer.Placement, bool) {
+	slices.SortStableFunc(rooms, func(a, b room) int { return cmp.Compare(b.free, a.free) })
+	var p placer.Placement
+	for _, r := range rooms {
+		if n := min(r.members, members); n > 0 {
+			p = append(p, placer.Part{Worker: r.worker, Members: n})
+			members -= n
+		}
+	}
+	slices.SortFunc(p, func(a, b placer.Part) int { return cmp.Compare(a.Worker, b.Worker) })
+	return p, members == 0
+}
+
+// need is what must come free on a worker before a job can run there.
+type need struct{ accelerators, cores int }
+
+// victims chooses the jobs to stop so that placement p comes free, with the work that is lost. A job under slot
+// stops its workspace's lower classes there too; minimumRun spares borrowers that started only just.
+func (t *step) victims(j *Job, slot SlotKey, p placer.Placement, minimumRun timekeeper.Millis) ([]*Job, int64, bool) {
+	chosen := map[string]*Job{}
+	var list []*Job
+	var cost int64
+	for _, part := range p {
+		short := t.shortage(j, part, chosen)
+		if short.accelerators <= 0 && short.cores <= 0 {
+			continue
+		}
+		for _, v := range t.candidates(j, slot, part.Worker, minimumRun, chosen) {
+			chosen[v.Spec.ID] = v
+			list = append(list, v)
+			cost += v.lostWork(t.now)
+			short = t.shortage(j, part, chosen)
+			if short.accelerators <= 0 && short.cores <= 0 {
+				break
+			}
+		}
+		if short.accelerators > 0 || short.cores > 0 {
+			return nil, 0, false
+		}
+	}
+	return list, cost, true
+}
+
+// shortage returns what a part lacks once all jobs that stop, and the chosen victims, are gone.
+func (t *step) shortage(j *Job, part placer.Part, chosen map[string]*Job) need {
+	load, _ := t.cells.Load(part.Worker)
+	short := need{
+		part.Members*j.Spec.Demand.Accelerators - (load.Worker.Accelerators - load.Used - load.Promised),
+		part.Members*j.Spec.Demand.Cores - (load.Worker.Cores - load.UsedCores - load.PromisedCores),
+	}
+	for _, other := range t.JobsOn(part.Worker) {
+		if other.Phase != PhaseStopping && chosen[other.Spec.ID] == nil && other.Spec.ID != j.Spec.ID {
+			continue
+		}
+		h := holdingOf(other, part.Worker)
+		short.accelerators -= h.used + h.promised
+		short.cores -= h.usedCores + h.promisedCores
+	}
+	return short
+}
+
+// candidates returns the jobs on a worker that may be stopped for j, those that lose least first.
+func (t *step) candidates(j *Job, slot SlotKey, worker string, minimumRun timekeeper.Millis, chosen map[string]*Job) []*Job {
+	var found []*Job
+	for _, other := range t.JobsOn(worker) {
+		if chosen[other.Spec.ID] != nil || !other.evictable() || other.Spec.ID == j.Spec.ID {
+			continue
+		}
+		own := other.Slot == slot && slot != SlotKey{} && other.Spec.Class > j.Spec.Class
+		young := other.Phase == PhaseRunning && t.now-other.Started < minimumRun
+		if own || other.Borrowed() && !young {
+			found = append(found, other)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *Job) int {
+		return cmp.Or(
+			cmp.Compare(b.Spec.Class, a.Spec.Class),
+			cmp.Compare(a.lostWork(t.now), b.lostWork(t.now)),
+			cmp.Compare(b.Started, a.Started),
+			cmp.Compare(a.Spec.ID, b.Spec.ID),
+		)
+	})
+	return found
+}
+
+// evictAll stops the victims; those that only waited for their place go back to the queue.
+func (t *step) evictAll(victims []*Job) {
+	for _, v := range victims {
+		if v.Phase == PhaseWaiting {
+			t.requeue(v, v)
+			continue
+		}
+		t.stop(v, stopPreempted)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/step.go
@@ -0,0 +1,297 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// step is one step in progress: a private copy of the state and the output so far.
+type step struct {
+	State
+	out     Output
+	touched map[string]struct{}
+	freed   map[string]struct{} // workers on which accelerators came free
+	idled   bool                // a slot lost its last job
+	retry   bool                // queued jobs may fit now
+	fresh   []string            // jobs that joined the queue in this step
+}
+
+// Step returns the state after event at time at, which never goes back: an earlier time counts as the last one.
+func (s State) Step(at timekeeper.Millis, event Event) (State, Output) {
+	t := &step{State: s, touched: map[string]struct{}{}, freed: map[string]struct{}{}}
+	t.now = max(s.now, at)
+	if err := t.take(event); err != nil {
+		return s, Output{Err: err}
+	}
+	t.schedule()
+	t.pruneEnded()
+	t.out.Touched = slices.Sorted(maps.Keys(t.touched))
+	return t.State, t.out
+}
+
+func (t *step) take(e Event) error {
+	switch {
+	case e.WorkerJoined != nil:
+		return t.joinWorker(*e.WorkerJoined)
+	case e.WorkerLost != nil:
+		return t.loseWorker(e.WorkerLost.Worker)
+	case e.WorkerDrained != nil:
+		return t.drainWorker(*e.WorkerDrained)
+	case e.JobSubmitted != nil:
+		return t.submit(*e.JobSubmitted)
+	case e.JobsCancelled != nil:
+		t.cancel(e.JobsCancelled.Jobs)
+		return nil
+	case e.MemberArmed != nil:
+		return t.memberArmed(*e.MemberArmed)
+	case e.MemberRefused != nil:
+		return t.memberRefused(*e.MemberRefused)
+	case e.MemberEnded != nil:
+		return t.memberEnded(*e.MemberEnded)
+	case e.TimePassed != nil:
+		t.fireTimers()
+		return nil
+	case e.WorkspaceSet != nil:
+		return t.setWorkspace(*e.WorkspaceSet)
+	case e.WorkspaceRemoved != nil:
+		return t.removeWorkspace(e.WorkspaceRemoved.Name)
+	case e.PolicySet != nil:
+		t.setPolicy(*e.PolicySet)
+		return nil
+	}
+	return errors.New("empty event")
+}
+
+// change replaces old by next and brings everything derived from jobs in step: loads, residents, queue, accounts,
+// slots. Either may be nil.
+func (t *step) change(old, next *Job) {
+	t.changeLoads(old, next)
+	t.changeQueue(old, next)
+	t.changeAccount(old, next)
+	t.changeSlot(old, next)
+	if next == nil {
+		t.jobs = t.jobs.Delete(old.Spec.ID)
+		return
+	}
+	t.jobs = t.jobs.Set(next.Spec.ID, next)
+}
+
+// holding is what a job's part adds to a worker's load.
+type holding struct {
+	used, usedCores, promised, promisedCores, firm int
+	present                                        bool
+}
+
+// frees reports whether a part that changes from h to next leaves something to others.
+func (h holding) frees(next holding) bool {
+	return h.used > next.used || h.usedCores > next.usedCores ||
+		h.used+h.promised > next.used+next.promised ||
+		h.usedCores+h.promisedCores > next.usedCores+next.promisedCores
+}
+
+func holdingOf(j *Job, worker string) holding {
+	if j == nil {
+		return holding{}
+	}
+	i := j.partOf(worker)
+	if i < 0 || j.Left.has(i) {
+		return holding{}
+	}
+	h := holding{present: true}
+	members := j.Placement[i].Members
+	accelerators, cores := members*j.Spec.Demand.Accelerators, members*j.Spec.Demand.Cores
+	switch j.Phase {
+	case PhaseWaiting:
+		h.promised, h.promisedCores = accelerators, cores
+	case PhaseArming, PhaseRunning, PhaseStopping:
+		h.used, h.usedCores = accelerators, cores
+	default:
+		return holding{}
+	}
+	if !j.Borrowed() && j.Phase != PhaseStopping {
+		h.firm = accelerators
+	}
+	return h
+}
+
+func (t *step) changeLoads(old, next *Job) {
+	var loads []placer.Load
+	for _, worker := range workersOf(old, next) {
+		before, after := holdingOf(old, worker), holdingOf(next, worker)
+		if differs(old, next) {
+			t.touched[worker] = struct{}{}
+		}
+		if before == after {
+			continue
+		}
+		load, known := t.cells.Load(worker)
+		if !known {
+			continue
+		}
+		load.Used += after.used - before.used
+		load.UsedCores += after.usedCores - before.usedCores
+		load.Promised += after.promised - before.promised
+		load.PromisedCores += after.promisedCores - before.promisedCores
+		load.Firm += after.firm - before.firm
+		loads = append(loads, load)
+		t.changeResident(worker, before.present, after.present, old, next)
+		if before.frees(after) {
+			t.freed[worker] = struct{}{}
+			t.retry = true
+		}
+	}
+	if len(loads) > 0 {
+		t.cells = t.cells.WithLoads(loads...)
+	}
+}
+
+// differs reports whether a job's workers must be told something else.
+func differs(old, next *Job) bool {
+	if old == nil || next == nil {
+		return true
+	}
+	return old.Phase != next.Phase || old.Attempt != next.Attempt || old.Cause != next.Cause
+}
+
+func workersOf(old, next *Job) []string {
+	var workers []string
+	if old != nil {
+		for _, p := range old.Placement {
+			workers = append(workers, p.Worker)
+		}
+	}
+	if next == nil {
+		return workers
+	}
+	for _, p := range next.Placement {
+		if old == nil || old.partOf(p.Worker) < 0 {
+			workers = append(workers, p.Worker)
+		}
+	}
+	return workers
+}
+
+func (t *step) changeResident(worker string, before, after bool, old, next *Job) {
+	t.touched[worker] = struct{}{}
+	if before == after {
+		return
+	}
+	list, _ := t.residents.Get(worker)
+	if after {
+		t.residents = t.residents.Set(worker, append(slices.Clip(slices.Clone(list)), next.Spec.ID))
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(list), func(id string) bool { return id == old.Spec.ID })
+	if len(rest) == 0 {
+		t.residents = t.residents.Delete(worker)
+		return
+	}
+	t.residents = t.residents.Set(worker, rest)
+}
+
+func (t *step) changeQueue(old, next *Job) {
+	if old != nil && old.Phase == PhaseQueued {
+		t.queue = t.queue.Delete(t.queueKey(old))
+	}
+	if old != nil && old.Phase == PhaseWaiting {
+		t.waiting = t.waiting.Delete(old.Spec.ID)
+	}
+	if next == nil {
+		return
+	}
+	switch next.Phase {
+	case PhaseQueued:
+		t.queue = t.queue.Set(t.queueKey(next), struct{}{})
+	case PhaseWaiting:
+		t.waiting = t.waiting.Set(next.Spec.ID, struct{}{})
+	case PhaseEnded:
+		t.ended = t.ended.Set(endedKey{next.EndedAt, next.Spec.ID}, struct{}{})
+	}
+}
+
+// queueKey must not depend on what changes while a job is queued; the rank uses what was learnt until it joined.
+func (t *step) queueKey(j *Job) queueKey {
+	key := queueKey{class: j.Spec.Class, workspace: j.Spec.Workspace, enqueued: j.Enqueued, rank: j.Rank, job: j.Spec.ID}
+	if t.policy.IgnoreClasses {
+		key.class, key.workspace = 0, ""
+	}
+	return key
+}
+
+func (t *step) changeAccount(old, next *Job) {
+	t.addToAccount(old, -1)
+	t.addToAccount(next, +1)
+}
+
+func (t *step) addToAccount(j *Job, sign int) {
+	if j == nil || j.Phase == PhaseQueued || j.Phase == PhaseEnded {
+		return
+	}
+	a, ok := t.accounts.Get(j.Spec.Workspace)
+	if !ok {
+		return
+	}
+	next := *a
+	next.Running += sign * j.Spec.Demand.Total()
+	if j.Borrowed() {
+		next.Borrowed += sign * j.Spec.Demand.Total()
+	}
+	t.accounts = t.accounts.Set(j.Spec.Workspace, &next)
+}
+
+func (t *step) changeSlot(old, next *Job) {
+	var before, after SlotKey
+	if old != nil && old.Phase != PhaseQueued && old.Phase != PhaseEnded {
+		before = old.Slot
+	}
+	if next != nil && next.Phase != PhaseQueued && next.Phase != PhaseEnded {
+		after = next.Slot
+	}
+	if before == after {
+		return
+	}
+	if slot, ok := t.slots.Get(before); ok {
+		slot.Jobs = slices.DeleteFunc(slices.Clone(slot.Jobs), func(id string) bool { return id == old.Spec.ID })
+		t.slots = t.slots.Set(before, slot)
+		t.idled = t.idled || len(slot.Jobs) == 0
+	}
+	if slot, ok := t.slots.Get(after); ok {
+		slot.Jobs = append(slices.Clone(slot.Jobs), next.Spec.ID)
+		t.slots = t.slots.Set(after, slot)
+	}
+}
+
+func (t *step) decide(kind DecisionKind, j *Job, reclaim bool) {
+	t.out.Decisions = append(t.out.Decisions, Decision{Kind: kind, Job: j, Reclaim: reclaim})
+}
+
+func (t *step) setTimer(at timekeeper.Millis, kind timerKind, id string, attempt int) {
+	t.timers = t.timers.Set(timerKey{at, kind, id, attempt}, struct{}{})
+}
+
+func (t *step) pruneEnded() {
+	for t.ended.Len() > keepEnded {
+		it := t.ended.Iterator()
+		key, _, _ := it.Next()
+		t.ended = t.ended.Delete(key)
+		t.jobs = t.jobs.Delete(key.job)
+	}
+}
+
+// refusal is an error that a caller can correct.
+func refusal(format string, args ...any) error {
+	return &RefusalError{Reason: fmt.Sprintf(format, args...)}
+}
+
+// A RefusalError tells why an event was refused; nothing was changed.
+type RefusalError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *RefusalError) Error() string { return e.Reason }
