--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -30,7 +30,7 @@
 		if !slices.Contains(m.Seats, r.Address) {
 			return m, errNoSeat
 		}
-		return withoutLearnersAt(m, r.Address).WithMember(replicator.Member{ID: r.ID, Address: r.Address}), nil
+		return m.WithLearner(r.ID, r.Address), nil
 	})
 	response := &JoinResponse{Standing: s.standing()}
 	switch {
@@ -47,15 +47,6 @@
 
 var errAlreadyMember = errors.New("already a member")
 
-func withoutLearnersAt(m replicator.Membership, address string) replicator.Membership {
-	for _, o := range m.Members {
-		if o.Address == address && !o.Voter {
-			m = m.WithoutMember(o.ID)
-		}
-	}
-	return m
-}
-
 // seat changes the addresses at which replicas may join; removing one removes the replica that lives there.
 func (s *Server) seat(ctx context.Context, r *SeatRequest) (*JoinResponse, error) {
 	if r.Remove && r.Address == s.address {
@@ -91,7 +82,7 @@
 	defer cancel()
 	event := logger.MemberPromoted
 	err := s.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
-		next, removed := promote(m, learner)
+		next, removed := m.Promote(learner)
 		if removed {
 			event = logger.MemberRemoved
 		}
@@ -104,18 +95,6 @@
 	s.log.Log(event, logger.F("address", learner.Address))
 }
 
-// promote gives a learner that has caught up its vote. A voter of an earlier identity at the same address goes
-// first, in a change of its own: its disk is lost, so that it can never vote again.
-func promote(m replicator.Membership, learner replicator.Member) (next replicator.Membership, removed bool) {
-	for _, o := range m.Members {
-		if o.Address == learner.Address && o.ID != learner.ID {
-			return m.WithoutMember(o.ID), true
-		}
-	}
-	learner.Voter = true
-	return m.WithMember(learner), false
-}
-
 // Enrol makes a replica with an empty data folder part of a cluster: it joins the one that others belong to, or
 // bootstraps a new one if every seat is empty and this is the lowest address. It returns at once for a replica
 // that has a past.
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sort"
@@ -35,13 +36,21 @@
 	Data    []byte `cbor:"4,keyasint"`
 }
 
+// segment is the file that a journal appends to.
+type segment interface {
+	io.WriteSeeker
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
 // Journal is the durable log of one replica.
 //
 // Invariants: entries are contiguous and start right after the compaction point; what Append returned nil for
 // survives a crash; the newest snapshot is never older than the compaction point. It belongs to one goroutine.
 type Journal struct {
 	dir      string
-	file     *os.File
+	file     segment
 	size     int64 // bytes of the current segment that are known durable
 	sequence uint64
 	identity uint64
--- /dev/null
+++ b/internal/journaler/journal_test.go
@@ -0,0 +1,283 @@
+package journaler
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func mustOpen(t interface{ Fatalf(string, ...any) }, dir string) *Journal {
+	j, err := Open(dir)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return j
+}
+
+func entry(index, term uint64) Entry {
+	return Entry{Index: index, Term: term, Data: []byte{byte(index), byte(term)}}
+}
+
+// lastSegment returns the path and content of the newest segment.
+func lastSegment(t interface{ Fatalf(string, ...any) }, dir string) (string, []byte) {
+	paths, err := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no segments: %v", err)
+	}
+	path := slices.Max(paths)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatalf("read: %v", err)
+	}
+	return path, data
+}
+
+// TestReopenKeepsWhatWasAppended runs random appends, overwrites, snapshots and crashes that tear the last record,
+// and compares the reopened journal with a model.
+func TestReopenKeepsWhatWasAppended(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		dir, err := os.MkdirTemp(t.TempDir(), "j")
+		if err != nil {
+			rt.Fatal(err)
+		}
+		j := mustOpen(rt, dir)
+		id := j.Identity()
+		model := map[uint64]uint64{} // index to term
+		last, term := uint64(0), uint64(1)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "action") {
+			case 0, 1, 2:
+				from := last + 1
+				if last > j.Snapshot().Index && rapid.Bool().Draw(rt, "overwrite") {
+					from = rapid.Uint64Range(j.Snapshot().Index+1, last).Draw(rt, "from")
+					term++
+				}
+				var batch Batch
+				batch.State = HardState{Term: term}
+				for i := range uint64(rapid.IntRange(1, 4).Draw(rt, "entries")) {
+					batch.Entries = append(batch.Entries, entry(from+i, term))
+				}
+				if err := j.Append(batch); err != nil {
+					rt.Fatalf("append: %v", err)
+				}
+				for index := range model {
+					if index >= from {
+						delete(model, index)
+					}
+				}
+				for _, e := range batch.Entries {
+					model[e.Index] = e.Term
+					last = e.Index
+				}
+			case 3:
+				if last > j.Snapshot().Index {
+					if err := j.SaveSnapshot(Snapshot{Index: last, Term: model[last], Data: []byte("s")}); err != nil {
+						rt.Fatalf("snapshot: %v", err)
+					}
+				}
+			default:
+				if err := j.Close(); err != nil {
+					rt.Fatalf("close: %v", err)
+				}
+				tear(rt, dir)
+				j = mustOpen(rt, dir)
+			}
+		}
+		checkModel(rt, j, model, last, id)
+	})
+}
+
+// tear adds the beginning of a record that was never acknowledged.
+func tear(t *rapid.T, dir string) {
+	record, err := appendRecord(nil, Batch{State: HardState{Term: 99}, Entries: []Entry{entry(500, 99)}})
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	path, data := lastSegment(t, dir)
+	cut := rapid.IntRange(0, len(record)-1).Draw(t, "torn")
+	if err := os.WriteFile(path, append(data, record[:cut]...), fileMode); err != nil {
+		t.Fatalf("write: %v", err)
+	}
+}
+
+func checkModel(t *rapid.T, j *Journal, model map[uint64]uint64, last, id uint64) {
+	if j.Identity() != id {
+		t.Fatalf("identity changed")
+	}
+	got := map[uint64]uint64{}
+	for _, e := range j.Entries() {
+		got[e.Index] = e.Term
+	}
+	for index := j.Snapshot().Index + 1; index <= last; index++ {
+		if got[index] != model[index] {
+			t.Fatalf("entry %d has term %d, want %d", index, got[index], model[index])
+		}
+	}
+	for index := range got {
+		if index > last {
+			t.Fatalf("entry %d was never acknowledged", index)
+		}
+	}
+}
+
+// TestDamageInTheMiddleIsRefused flips each byte of a record that others follow.
+func TestDamageInTheMiddleIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	for i := range uint64(3) {
+		if err := j.Append(Batch{State: HardState{Term: 1}, Entries: []Entry{entry(i+1, 1)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	path, data := lastSegment(t, dir)
+	for i := range len(data) / 3 {
+		damaged := slices.Clone(data)
+		damaged[i] ^= 0x40
+		if err := os.WriteFile(path, damaged, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		var corrupt *CorruptError
+		if _, err := Open(dir); !errors.As(err, &corrupt) {
+			t.Fatalf("byte %d flipped: open gave %v, want a CorruptError", i, err)
+		}
+	}
+}
+
+// TestDamagedSnapshotIsRefused checks that a replica does not start without the state it once had.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	if err := j.SaveSnapshot(Snapshot{Index: 1, Term: 1, Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, snapshotFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)-1] ^= 1
+	if err := os.WriteFile(path, data, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	var corrupt *CorruptError
+	if _, err := Open(dir); !errors.As(err, &corrupt) {
+		t.Errorf("open gave %v, want a CorruptError", err)
+	}
+}
+
+// fullDisk writes only the first room bytes and then fails like a full disk.
+type fullDisk struct {
+	segment
+	room int
+}
+
+func (f *fullDisk) Write(p []byte) (int, error) {
+	n, err := f.segment.Write(p[:min(len(p), f.room)])
+	f.room -= n
+	if err == nil && n < len(p) {
+		err = syscall.ENOSPC
+	}
+	return n, err
+}
+
+// TestDiskFullAcknowledgesNothing checks that a write that did not fit is reported, leaves no trace, and that the
+// journal goes on once there is room.
+func TestDiskFullAcknowledgesNothing(t *testing.T) {
+	record, err := appendRecord(nil, Batch{State: HardState{Term: 2}, Entries: []Entry{entry(2, 2)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for room := range record {
+		dir := t.TempDir()
+		j := mustOpen(t, dir)
+		if err := j.Append(Batch{State: HardState{Term: 1}, Entries: []Entry{entry(1, 1)}}); err != nil {
+			t.Fatal(err)
+		}
+		file := j.file
+		j.file = &fullDisk{file, room}
+		err := j.Append(Batch{State: HardState{Term: 2}, Entries: []Entry{entry(2, 2)}})
+		if !errors.Is(err, ErrDiskFull) {
+			t.Fatalf("room for %d bytes: append gave %v, want ErrDiskFull", room, err)
+		}
+		j.file = file
+		if err := j.Append(Batch{State: HardState{Term: 3}, Entries: []Entry{entry(2, 3)}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := j.Close(); err != nil {
+			t.Fatal(err)
+		}
+		again := mustOpen(t, dir)
+		if diff := cmp.Diff([]Entry{entry(1, 1), entry(2, 3)}, again.Entries()); diff != "" {
+			t.Fatalf("room for %d bytes: entries (-want +got):\n%s", room, diff)
+		}
+	}
+}
+
+// TestFailedSyncStopsTheJournal checks that nothing is acknowledged after a sync failed: what the file holds then is
+// not known.
+func TestFailedSyncStopsTheJournal(t *testing.T) {
+	j := mustOpen(t, t.TempDir())
+	j.file = &failingSync{segment: j.file}
+	if err := j.Append(Batch{State: HardState{Term: 1}}); err == nil {
+		t.Fatal("append acknowledged what was not synced")
+	}
+	if err := j.Append(Batch{State: HardState{Term: 1}}); err == nil {
+		t.Error("append went on after a failed sync")
+	}
+}
+
+type failingSync struct {
+	segment
+	failed bool
+}
+
+func (f *failingSync) Sync() error {
+	if f.failed {
+		return f.segment.Sync()
+	}
+	f.failed = true
+	return syscall.EIO
+}
+
+// FuzzReadAll checks that any bytes are either read, cut at the end, or refused, and that what is read is the same
+// when written again.
+func FuzzReadAll(f *testing.F) {
+	good, err := appendRecord(nil, Batch{State: HardState{Term: 3, Vote: 7}, Entries: []Entry{entry(1, 3), entry(2, 3)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(append(slices.Clone(good), good[:len(good)-1]...))
+	f.Add(append([]byte{1}, good...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		batches, intact, err := readAll("fuzz", data)
+		if err != nil {
+			return
+		}
+		if intact > len(data) {
+			t.Fatalf("intact %d of %d bytes", intact, len(data))
+		}
+		var again []byte
+		for _, b := range batches {
+			if again, err = appendRecord(again, b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		reread, _, err := readAll("again", again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(batches, reread); diff != "" {
+			t.Fatalf("read again (-first +again):\n%s", diff)
+		}
+	})
+}
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,245 @@
+package registrar
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/scheduler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// history applies commands one after another, each through its encoding, as a replica does.
+type history struct {
+	t     interface{ Fatalf(string, ...any) }
+	state State
+}
+
+func (h *history) apply(c Command) Answer {
+	data, err := encoder.Marshal(c)
+	if err != nil {
+		h.t.Fatalf("encode: %v", err)
+	}
+	var decoded Command
+	if err := encoder.Unmarshal(data, &decoded); err != nil {
+		h.t.Fatalf("decode: %v", err)
+	}
+	next, effect := h.state.Apply(h.state.Index+1, decoded)
+	h.state = next
+	return effect.Answer
+}
+
+// reload passes the state through a snapshot.
+func (h *history) reload() {
+	data, err := h.state.Encode()
+	if err != nil {
+		h.t.Fatalf("encode: %v", err)
+	}
+	again, err := Decode(data)
+	if err != nil {
+		h.t.Fatalf("decode: %v", err)
+	}
+	recoded, err := again.Encode()
+	if err != nil {
+		h.t.Fatalf("encode: %v", err)
+	}
+	if diff := cmp.Diff(data, recoded); diff != "" {
+		h.t.Fatalf("a snapshot changes what it holds:\n%s", diff)
+	}
+	h.state = again
+}
+
+func use(name string) *string { return &name }
+
+func changeTo(id string, seen uint64, preset string) Command {
+	return Command{ID: id, Author: "op", Change: &Change{Seen: seen, UsePreset: use(preset)}}
+}
+
+// TestOperatorsRace lets two operators change presets with equal numbers and resend commands, through snapshots: one
+// wins each number, a resend gets its first answer, and no number ever falls.
+func TestOperatorsRace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{t: t, state: New()}
+		h.apply(Command{Change: &Change{Seen: 1, Preset: &Preset{Name: "peak"}}})
+		first := map[string]Answer{}
+		winners := map[uint64]string{}
+		for i := range rapid.IntRange(1, 80).Draw(t, "commands") {
+			before := h.state
+			id := fmt.Sprintf("%s-%d", rapid.SampledFrom([]string{"a", "b"}).Draw(t, "operator"), rapid.IntRange(0, i).Draw(t, "id"))
+			seen := before.Revision - rapid.Uint64Range(0, 1).Draw(t, "behind")
+			answer := h.apply(changeTo(id, seen, rapid.SampledFrom([]string{"peak", DefaultPreset}).Draw(t, "preset")))
+			if earlier, resent := first[id]; resent {
+				if diff := cmp.Diff(earlier.Revision, answer.Revision); diff != "" || earlier.Code != answer.Code {
+					t.Fatalf("resend of %s answered %+v, first %+v", id, answer, earlier)
+				}
+				continue
+			}
+			first[id] = answer
+			checkRace(t, before, h.state, answer, id, winners)
+			if rapid.IntRange(0, 5).Draw(t, "in force") == 0 {
+				h.apply(Command{InForce: &InForce{Revision: rapid.Uint64Range(0, h.state.Revision+1).Draw(t, "revision")}})
+			}
+			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+				h.reload()
+			}
+			if h.state.InForce > h.state.Revision || h.state.InForce < before.InForce {
+				t.Fatalf("in force went from %d to %d at revision %d", before.InForce, h.state.InForce, h.state.Revision)
+			}
+		}
+	})
+}
+
+func checkRace(t *rapid.T, before, after State, a Answer, id string, winners map[uint64]string) {
+	if after.Revision < before.Revision {
+		t.Fatalf("revision fell from %d to %d", before.Revision, after.Revision)
+	}
+	switch a.Code {
+	case CodeOK:
+		if other := winners[a.Revision]; other != "" {
+			t.Fatalf("%s and %s both made revision %d", other, id, a.Revision)
+		}
+		winners[a.Revision] = id
+	case CodeConflict:
+		if after.Revision != before.Revision || a.Revision != before.Revision {
+			t.Fatalf("a refused change answered %+v and moved %d to %d", a, before.Revision, after.Revision)
+		}
+	default:
+		t.Fatalf("unexpected answer %+v", a)
+	}
+}
+
+// TestPresetComesIntoForceOnce checks that a chosen preset changes nothing until its revision is in force, and then
+// at one place of the log.
+func TestPresetComesIntoForceOnce(t *testing.T) {
+	h := &history{t: t, state: New()}
+	policy := scheduler.DefaultPolicy()
+	policy.HoldBatch = true
+	h.apply(Command{Change: &Change{Seen: 1, Preset: &Preset{Name: "maintenance", Policy: policy}}})
+	h.apply(changeTo("c", 2, "maintenance"))
+	if h.state.Current != DefaultPreset || h.state.Scheduler.Policy().HoldBatch || !h.state.Switching() {
+		t.Errorf("after the choice: %q in force, switching %v; want %q, true", h.state.Current, h.state.Switching(), DefaultPreset)
+	}
+	h.apply(Command{InForce: &InForce{Revision: 2}})
+	if h.state.Current != DefaultPreset {
+		t.Errorf("an older revision in force switched the preset")
+	}
+	h.apply(Command{InForce: &InForce{Revision: 3}})
+	if h.state.Current != "maintenance" || !h.state.Scheduler.Policy().HoldBatch || h.state.Switching() {
+		t.Errorf("after revision 3 came into force: %q, switching %v", h.state.Current, h.state.Switching())
+	}
+}
+
+// requestModel is what may be concluded of one id from the steps that were granted.
+type requestModel struct {
+	ended   bool
+	phase   RequestPhase
+	attempt int
+}
+
+// TestRequestsRunAtMostOnce applies random steps of several entries to a few ids and checks that no two attempts of
+// one id can both be handed over: a new attempt is granted only by compare-and-set on the last, and an end stands.
+func TestRequestsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{t: t, state: New()}
+		models := map[RequestKey]*requestModel{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			key := RequestKey{"ws", rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key")}
+			owner := rapid.SampledFrom([]string{"e1/1", "e2/1", "e1/2"}).Draw(t, "owner")
+			if rapid.IntRange(0, 6).Draw(t, "gone") == 0 {
+				h.apply(Command{Owner: &OwnerGone{Owner: owner}})
+				continue
+			}
+			before, known := h.state.Request(key)
+			step := drawStep(t, key, owner, before)
+			view := h.apply(Command{Requests: []RequestStep{step}}).Requests[0]
+			if models[key] == nil {
+				models[key] = &requestModel{}
+			}
+			checkStep(t, models[key], step, before, known, view)
+			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+				h.reload()
+			}
+		}
+	})
+}
+
+func drawStep(t *rapid.T, key RequestKey, owner string, before Request) RequestStep {
+	step := RequestStep{Key: key, Owner: owner, Digest: []byte("d"), Nonce: rapid.SampledFrom([]string{"n1", "n2"}).Draw(t, "nonce")}
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 1:
+		step.From = &AttemptRef{Owner: before.Owner, Attempt: rapid.IntRange(0, 3).Draw(t, "from")}
+	case 2:
+		step.Phase = RequestPhase(rapid.IntRange(int(RequestFinished), int(RequestUnknown)).Draw(t, "phase"))
+		step.Attempt = rapid.IntRange(0, 3).Draw(t, "attempt")
+		if rapid.Bool().Draw(t, "own") {
+			step.Owner, step.Nonce, step.Attempt = before.Owner, before.Nonce, before.Attempt
+		}
+	}
+	return step
+}
+
+func checkStep(t *rapid.T, m *requestModel, s RequestStep, before Request, known bool, v RequestView) {
+	if !v.Granted {
+		return
+	}
+	if s.Phase != RequestClaimed {
+		if m.ended {
+			t.Fatalf("%+v ended again after %v", s, m.phase)
+		}
+		m.ended, m.phase = true, s.Phase
+		return
+	}
+	repeat := known && before.Owner == s.Owner && before.Nonce == s.Nonce && before.Phase == RequestClaimed
+	if m.ended && m.phase != RequestNotRun {
+		t.Fatalf("%+v was granted after the end %v", s, m.phase)
+	}
+	if v.Request.Attempt != m.attempt+1 && !repeat {
+		t.Fatalf("%+v was granted attempt %d after %d", s, v.Request.Attempt, m.attempt)
+	}
+	if !repeat && known && s.From == nil && m.phase != RequestNotRun {
+		t.Fatalf("%+v took a claimed id without compare-and-set", s)
+	}
+	m.attempt, m.ended = v.Request.Attempt, false
+}
+
+// TestAnswersExpireAndIdsStayRefused checks the bounds of recorded answers.
+func TestAnswersExpireAndIdsStayRefused(t *testing.T) {
+	h := &history{t: t, state: New()}
+	key := RequestKey{"ws", "k"}
+	h.apply(Command{At: 1000, Requests: []RequestStep{{Key: key, Digest: []byte("d"), Owner: "e/1"}}})
+	answer := &RecordedAnswer{Status: 200, Body: []byte("sheet")}
+	h.apply(Command{At: 2000, Requests: []RequestStep{{Key: key, Owner: "e/1", Attempt: 1, Phase: RequestFinished, Answer: answer}}})
+	h.apply(Command{At: 2000 + answerFor + timekeeper.Second, InForce: &InForce{Revision: 1}})
+	r, _ := h.state.Request(key)
+	if r.Answer != nil || r.Phase != RequestFinished {
+		t.Errorf("after its time: answer %v, phase %v; want none, finished", r.Answer, r.Phase)
+	}
+	view := h.apply(Command{Requests: []RequestStep{{Key: key, Digest: []byte("d"), Owner: "e/2"}}}).Requests[0]
+	if view.Granted {
+		t.Error("the id was granted again")
+	}
+}
+
+// TestRestartedAgentHoldsNothing checks that what a worker had under an earlier agent process ends when the agent
+// comes back as a new process.
+func TestRestartedAgentHoldsNothing(t *testing.T) {
+	h := &history{t: t, state: New()}
+	w := placer.Worker{ID: "w1", Region: "r", Zone: "z", Rack: "k", Accelerators: 8, Cores: 64}
+	h.apply(Command{Attach: &Agent{ID: "w1", Incarnation: "1", Worker: &w}})
+	h.apply(Command{Change: &Change{Seen: 1, Workspace: &scheduler.Workspace{Name: "ws"}}})
+	spec := scheduler.JobSpec{ID: "j", Workspace: "ws", Repeatable: true, Demand: placer.Demand{Members: 1, Accelerators: 8}}
+	h.apply(Command{Events: []scheduler.Event{{JobSubmitted: &spec}}})
+	h.apply(Command{Events: []scheduler.Event{{MemberArmed: &scheduler.MemberReport{Job: "j", Attempt: 1, Worker: "w1"}}}})
+	if j, _ := h.state.Scheduler.Job("j"); j.Phase != scheduler.PhaseRunning {
+		t.Fatalf("job is %v, want running", j.Phase)
+	}
+	h.apply(Command{Attach: &Agent{ID: "w1", Incarnation: "2", Worker: &w}})
+	j, _ := h.state.Scheduler.Job("j")
+	if j.Attempt != 2 || j.Phase != scheduler.PhaseArming {
+		t.Errorf("job is %v in attempt %d, want arming in attempt 2", j.Phase, j.Attempt)
+	}
+}
--- /dev/null
+++ b/internal/replicator/main_test.go
@@ -0,0 +1,13 @@
+package replicator
+
+import (
+	"os"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Fix(1, 2000)
+	os.Exit(m.Run())
+}
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -84,6 +84,29 @@
 	return m
 }
 
+// Promote gives a learner that has caught up its vote. A voter of an earlier identity at the same address goes first,
+// in a change of its own, which removed reports: its disk is lost, so that it can never vote again.
+func (m Membership) Promote(learner Member) (next Membership, removed bool) {
+	for _, o := range m.Members {
+		if o.Address == learner.Address && o.ID != learner.ID {
+			return m.WithoutMember(o.ID), true
+		}
+	}
+	learner.Voter = true
+	return m.WithMember(learner), false
+}
+
+// WithLearner returns a copy in which a new replica receives the log without a vote; an earlier learner at its
+// address is gone.
+func (m Membership) WithLearner(id ReplicaID, address string) Membership {
+	for _, o := range m.Members {
+		if o.Address == address && !o.Voter {
+			m = m.WithoutMember(o.ID)
+		}
+	}
+	return m.WithMember(Member{ID: id, Address: address})
+}
+
 // quorum reports whether the members counted by yes are a majority of the voters.
 func (m Membership) quorum(yes func(ReplicaID) bool) bool {
 	n := 0
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -180,6 +180,12 @@
 		c.send(Message{Kind: AppendResponse, To: m.From, Index: c.commit})
 		return
 	}
+	if term, held := c.log.term(s.Index); held && term == s.Term {
+		// The log holds all of the snapshot; what follows in it may have been acknowledged and must stay.
+		c.commit = s.Index
+		c.send(Message{Kind: AppendResponse, To: m.From, Index: s.Index})
+		return
+	}
 	members, err := decodeMembership(s.Members)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/seeder/seeder.go
@@ -0,0 +1,21 @@
+package seeder
+
+import (
+	"flag"
+	"strconv"
+)
+
+// Fix sets the seed and the number of cases of rapid's property tests where the command line left them open. It is
+// called from TestMain.
+func Fix(seed uint64, checks int) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": strconv.FormatUint(seed, 10), "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true",
+	} {
+		if !given[name] {
+			_ = flag.Set(name, value) // a binary without rapid has no such flag
+		}
+	}
+}
