Replay traces against baselines, and mend what the replays showed

Cause: the policy was argued, not measured.

Written traces then failed for three more: a job with a bad worker failed three times there and was ended for it (bad-worker); a gang past its bound never found borrowers old enough to stop, since backfill kept coming in (large-gang); plans and holds sent a job back to the worker where it failed.

Change: placing respects promises; who lost a place before it started keeps its wait; a move must pay four times over by the time already waited; overdue gangs hold a cell while guaranteed jobs in it end; idle guaranteed shapes move to free accelerators in place of swapping; reservations start early where the gang fits. Trace format, replayer, comparison, ablation and plots.

--- a/internal/commander/trace.go
+++ b/internal/commander/trace.go
@@ -1,13 +1,197 @@
 package commander
 
 import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
 	"strconv"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonmill/lagoonmill/internal/replayer"
+	"github.com/lagoonmill/lagoonmill/internal/reporter"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
+const traceFileMode = 0o644
+
 func traceCommand() *cli.Command {
-	return &cli.Command{Name: "trace", Usage: "recorded and made traces of the scheduler's inputs"}
+	policy := &cli.StringFlag{Name: "policy", Value: replayer.Own, Usage: "the policy to replay under; 'trace compare' names all"}
+	return &cli.Command{
+		Name: "trace", Usage: "recorded and made traces of the scheduler's inputs",
+		Commands: []*cli.Command{
+			{
+				Name: "make", Usage: "make a trace from a seed", Description: example("lagoonmill trace make --deployment taukvads --day peak --seed 7 --out peak.txtar"),
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "deployment", Value: "taukvads", Usage: "taukvads, dvorak or " + replayer.MakeLetterSize},
+					&cli.StringFlag{Name: "day", Value: "ordinary", Usage: "ordinary, peak or maintenance"},
+					&cli.Uint64Flag{Name: "seed", Value: 1},
+					&cli.StringFlag{Name: "out", Required: true, Usage: "the file to write"},
+				},
+				Action: makeTrace,
+			},
+			{
+				Name: "replay", Usage: "replay a trace and check its stated outcomes", ArgsUsage: "FILE...",
+				Description: example("lagoonmill trace replay traces/taukvads-peak.txtar"), Flags: []cli.Flag{policy}, Action: replayTraces,
+			},
+			{
+				Name: "compare", Usage: "compare the policy with baselines and with each mechanism off", ArgsUsage: "FOLDER",
+				Description: example("lagoonmill trace compare traces --seeds 5"),
+				Flags:       []cli.Flag{&cli.IntFlag{Name: "seeds", Usage: "compare on made days of seeds 1 to this in place of a folder's traces"}},
+				Action:      compareTraces,
+			},
+			{
+				Name: "plot", Usage: "draw a replay as SVG", ArgsUsage: "FILE", Description: example("lagoonmill trace plot traces/dvorak-peak.txtar --out peak.svg"),
+				Flags: []cli.Flag{policy, &cli.StringFlag{Name: "out", Required: true, Usage: "the file to write"}}, Action: plotTrace,
+			},
+			recordCommand(),
+		},
+	}
+}
+
+func makeTrace(_ context.Context, c *cli.Command) error {
+	t, err := replayer.Make(c.String("deployment"), c.String("day"), c.Uint64("seed"))
+	if err != nil {
+		return usageError("%w", err)
+	}
+	data, err := t.Format()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.String("out"), data, traceFileMode); err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	return nil
+}
+
+func replayTraces(_ context.Context, c *cli.Command) error {
+	variant, err := replayer.FindVariant(c.String("policy"))
+	if err != nil {
+		return usageError("--policy: %w", err)
+	}
+	if !c.Args().Present() {
+		return usageError("want the files of the traces to replay")
+	}
+	t := &table{header: append([]string{"TRACE"}, reporter.Header()...)}
+	var summaries []reporter.Summary
+	departures := 0
+	for _, path := range c.Args().Slice() {
+		trace, err := replayer.Read(path)
+		if err != nil {
+			return usageError("%w", err)
+		}
+		result, err := replayer.Run(trace, variant, nil)
+		if err != nil {
+			return fmt.Errorf("replay %s: %w", path, err)
+		}
+		s := reporter.Summarize(result)
+		summaries = append(summaries, s)
+		t.add(append([]any{path}, reporter.Row(s)...)...)
+		for _, d := range s.Departures {
+			_, _ = fmt.Fprintf(os.Stderr, "%s: %s\n", path, d)
+			departures++
+		}
+	}
+	if err := print(c, summaries, t); err != nil {
+		return err
+	}
+	if departures > 0 {
+		return fmt.Errorf("%d departures from the stated outcomes", departures)
+	}
+	return nil
+}
+
+// loadTraces reads a folder's traces, or makes the days of the given number of seeds.
+func loadTraces(c *cli.Command) ([]*replayer.Trace, error) {
+	if n := c.Int("seeds"); n > 0 {
+		return madeDays(n)
+	}
+	folder, err := argument(c, "folder with traces")
+	if err != nil {
+		return nil, err
+	}
+	paths, err := filepath.Glob(filepath.Join(folder, "*.txtar"))
+	if err != nil || len(paths) == 0 {
+		return nil, usageError("%s: no traces (*.txtar)", folder)
+	}
+	var traces []*replayer.Trace
+	for _, path := range paths {
+		t, err := replayer.Read(path)
+		if err != nil {
+			return nil, usageError("%w", err)
+		}
+		traces = append(traces, t)
+	}
+	return traces, nil
 }
+
+func madeDays(seeds int) ([]*replayer.Trace, error) {
+	var traces []*replayer.Trace
+	for _, deployment := range replayer.Deployments {
+		for _, day := range replayer.Days {
+			for seed := 1; seed <= seeds; seed++ {
+				t, err := replayer.Make(deployment, day, uint64(seed))
+				if err != nil {
+					return nil, err
+				}
+				t.Name = fmt.Sprintf("%s %s seed %d", deployment, day, seed)
+				traces = append(traces, t)
+			}
+		}
+	}
+	return traces, nil
+}
+
+func compareTraces(ctx context.Context, c *cli.Command) error {
+	traces, err := loadTraces(c)
+	if err != nil {
+		return err
+	}
+	compared, err := reporter.Compare(ctx, traces, replayer.Variants())
+	if err != nil {
+		return err
+	}
+	if c.String("output") == "json" {
+		return print(c, compared, nil)
+	}
+	for _, one := range compared {
+		_, _ = fmt.Printf("\n%s (deployment %s, preset %s, completion weight %.1f)\n", one.Trace.Name, one.Trace.Settings.Deployment, one.Trace.Settings.Preset, one.Trace.Settings.Completion)
+		t := &table{header: reporter.Header()}
+		for _, s := range one.Summaries {
+			t.add(reporter.Row(s)...)
+		}
+		if err := t.print(); err != nil {
+			return err
+		}
+	}
+	_, _ = fmt.Println("\nmean score over all traces; lower is better, first come first served is 1")
+	t := &table{header: reporter.MeansHeader()}
+	for _, m := range reporter.Means(compared) {
+		t.add(reporter.MeansRow(m)...)
+	}
+	return t.print()
+}
+
+func plotTrace(_ context.Context, c *cli.Command) error {
+	path, err := argument(c, "trace to draw")
+	if err != nil {
+		return err
+	}
+	variant, err := replayer.FindVariant(c.String("policy"))
+	if err != nil {
+		return usageError("--policy: %w", err)
+	}
+	trace, err := replayer.Read(path)
+	if err != nil {
+		return usageError("%w", err)
+	}
+	result, err := replayer.Run(trace, variant, nil)
+	if err != nil {
+		return fmt.Errorf("replay %s: %w", path, err)
+	}
+	return reporter.WritePlot(result, c.String("out"))
+}
+
+func recordCommand() *cli.Command { return &cli.Command{Name: "record", Hidden: true} }
--- a/internal/placer/load.go
+++ b/internal/placer/load.go
@@ -46,6 +46,7 @@
 	ByCores                    // free cores
 	ByDeclaredCores
 	ByReclaimable // accelerators free or held by borrowers
+	ByCapacity    // accelerators of usable workers
 	quantities
 )
 
@@ -63,6 +64,8 @@
 		return l.FreeCores()
 	case ByReclaimable:
 		return l.Reclaimable()
+	case ByCapacity:
+		return l.available(l.Worker.Accelerators)
 	default:
 		return l.Worker.Cores
 	}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -14,6 +14,7 @@
 	t.mendFreedSlots()
 	t.armWaiting()
 	if t.retry {
+		t.advanceReservations()
 		t.placeQueued()
 		return
 	}
@@ -77,10 +78,11 @@
 	class      Class
 	repeatable bool
 	checkpoint bool
+	failed     int
 }
 
 func blockKeyOf(j *Job) blockKey {
-	return blockKey{j.Spec.Demand, j.Spec.Workspace, j.Spec.Class, j.Spec.Repeatable, j.Spec.Checkpoint}
+	return blockKey{j.Spec.Demand, j.Spec.Workspace, j.Spec.Class, j.Spec.Repeatable, j.Spec.Checkpoint, len(j.FailedOn)}
 }
 
 // placeQueued tries queued jobs, class by class, in each class the workspace that borrows least first.
@@ -176,6 +178,9 @@
 	case GuaranteeStatic:
 		return t.useSlot(j, false)
 	}
+	if t.avoidsWorkers(j) && t.borrow(j) {
+		return true
+	}
 	if t.useSlot(j, false) {
 		return true
 	}
@@ -185,12 +190,38 @@
 	return t.useSlot(j, true) || t.borrow(j)
 }
 
-// find searches free accelerators as the policy says.
-func (t *step) find(d placer.Demand, q placer.Quantity) (placer.Placement, bool) {
+// find searches free accelerators as the policy says. A job is not started again on a worker where it failed while
+// other workers could hold it.
+func (t *step) find(j *Job) (placer.Placement, bool) {
+	p, ok := t.findIn(t.cells, j.Spec.Demand)
+	if !ok || !t.avoidsWorkers(j) || !slices.ContainsFunc(j.FailedOn, func(w string) bool { return p.On(w) > 0 }) {
+		return p, ok
+	}
+	elsewhere := t.cellsWithout(j.FailedOn)
+	if other, ok := t.findIn(elsewhere, j.Spec.Demand); ok {
+		return other, true
+	}
+	_, waits := elsewhere.Place(j.Spec.Demand, placer.ByCapacity)
+	return p, !waits
+}
+
+func (t *step) avoidsWorkers(j *Job) bool { return len(j.FailedOn) > 0 && t.policy.QuarantineAfter > 0 }
+
+func (t *step) findIn(c placer.Cells, d placer.Demand) (placer.Placement, bool) {
 	if t.policy.FirstFit {
-		return t.cells.FirstFit(d, q)
+		return c.FirstFit(d, placer.ByFree)
+	}
+	return c.Place(d, placer.ByFree)
+}
+
+func (t *step) cellsWithout(workers []string) placer.Cells {
+	var loads []placer.Load
+	for _, worker := range workers {
+		load, _ := t.cells.Load(worker)
+		load.Usable = false
+		loads = append(loads, load)
 	}
-	return t.cells.Place(d, q)
+	return t.cells.WithLoads(loads...)
 }
 
 // borrow places a job on free accelerators, whoever is guaranteed them. What may not be stopped does not borrow.
@@ -198,7 +229,7 @@
 	if !j.Spec.Repeatable && t.policy.Guarantee == GuaranteeShapes {
 		return false
 	}
-	p, ok := t.find(j.Spec.Demand, placer.ByFree)
+	p, ok := t.find(j)
 	if !ok {
 		return t.backfill(j)
 	}
@@ -206,13 +237,13 @@
 	return true
 }
 
-// place gives a queued job a placement: it arms at once where all is free, else it waits. It becomes ripe when
-// others may be stopped for it; zero means that they were.
+// place gives a queued job a placement: it arms at once where all is free and promised to nobody, else it waits. It
+// becomes ripe when others may be stopped for it; zero means that they were.
 func (t *step) place(j *Job, p placer.Placement, slot SlotKey, ripe int64) {
 	next := *j
 	next.Phase, next.Placement, next.Slot = PhaseWaiting, p, slot
 	next.RipeAt = millis(ripe)
-	if t.isFree(j.Spec.Demand, p) {
+	if t.freeNow(j.Spec.Demand, p) {
 		t.arm(j, &next)
 		return
 	}
@@ -227,7 +258,7 @@
 		return false
 	}
 	quota := SlotKey{Workspace: j.Spec.Workspace}
-	if p, ok := t.find(j.Spec.Demand, placer.ByFree); ok {
+	if p, ok := t.find(j); ok {
 		t.place(j, p, quota, 0)
 		return true
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -152,7 +152,7 @@
 	Cause       stopCause         `cbor:"14,keyasint"`
 	StopBy      timekeeper.Millis `cbor:"15,keyasint"`
 	RipeAt      timekeeper.Millis `cbor:"16,keyasint"` // when a reservation takes its accelerators from others
-	Failures    int               `cbor:"17,keyasint"`
+	Failures    int               `cbor:"17,keyasint"` // attempts that failed
 	End         End               `cbor:"18,keyasint"`
 	Reason      string            `cbor:"19,keyasint"`
 	WasLost     bool              `cbor:"20,keyasint"` // a member of this attempt was lost, so its end is not known
@@ -160,6 +160,7 @@
 	SavedNow    timekeeper.Millis `cbor:"22,keyasint"` // least run time of this attempt that its stopped members kept
 	Finished    int               `cbor:"23,keyasint"` // parts that finished in this attempt
 	Rank        int               `cbor:"24,keyasint"` // order among batch jobs, fixed while queued
+	FailedOn    []string          `cbor:"26,keyasint"` // different workers on which a member failed
 	Refusals    int               `cbor:"25,keyasint"` // attempts that could not be armed
 }
 
@@ -174,8 +175,13 @@
 	return j.Spec.Repeatable && (j.Phase == PhaseArming || j.Phase == PhaseRunning || j.Phase == PhaseWaiting)
 }
 
-// lostWork returns the accelerator-milliseconds that stopping the job now throws away.
+// lostWork returns the accelerator-milliseconds that stopping the job now throws away. A reservation loses a part of
+// the time that its gang has waited.
 func (j *Job) lostWork(now timekeeper.Millis) int64 {
+	const waitShare = 4
+	if j.Phase == PhaseWaiting && j.RipeAt > 0 {
+		return int64(now-j.Enqueued) * int64(j.Spec.Demand.Total()) / waitShare
+	}
 	if j.Phase != PhaseRunning || j.Spec.Checkpoint {
 		return 0
 	}
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -8,16 +8,13 @@
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
-// swapCandidates bounds the idle slots of the same shape that a reclaim compares.
-const swapCandidates = 64
-
 func millis(n int64) timekeeper.Millis { return timekeeper.Millis(n) }
 
 // claim is a way to run a job under a guarantee.
 type claim struct {
 	slot      SlotKey
 	rebound   placer.Placement // the slot's new binding, nil to keep the present one
-	swapWith  SlotKey          // the idle slot that takes the old binding, zero for none
+	after     State            // with other slots moved too, where the zero State means that none are
 	placement placer.Placement
 	victims   []*Job
 	cost      int64 // accelerator-milliseconds of lost work
@@ -74,16 +71,12 @@
 }
 
 func (t *step) rebind(c *claim) {
-	if c.rebound == nil {
-		return
-	}
-	slot := t.slot(c.slot)
-	old := slot.Binding
-	t.bind(slot, nil)
-	if other, ok := t.slots.Get(c.swapWith); ok {
-		t.bind(other, old)
+	switch {
+	case c.after.slots != nil:
+		t.State = c.after
+	case c.rebound != nil:
+		t.bind(t.slot(c.slot), c.rebound)
 	}
-	t.bind(t.slot(c.slot), c.rebound)
 }
 
 // claimSlot returns the cheapest way to run the job inside a slot, or nil.
@@ -104,32 +97,80 @@
 	if best != nil && len(best.victims) == 0 {
 		return best
 	}
-	return t.claimSwap(j, slot, best, evict)
+	if c := t.claimFree(j, slot); c != nil {
+		return c
+	}
+	return best
 }
 
 func cheaper(a, b *claim) bool {
 	return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(len(a.victims), len(b.victims))) < 0
 }
 
-// claimSwap tries the bindings of idle slots of the same shape, whose owners do not use them now.
-func (t *step) claimSwap(j *Job, slot Slot, best *claim, evict bool) *claim {
-	tried := 0
-	for it := t.slots.Iterator(); !it.Done() && tried < swapCandidates; {
-		key, other, _ := it.Next()
-		if key == slot.Key || len(other.Jobs) > 0 || other.Demand != slot.Demand || other.Short() > 0 {
-			continue
+// claimFree moves an idle slot to where accelerators are free, and the idle slots that are bound there elsewhere, so
+// that nobody need stop. It fails where they do not all fit.
+func (t *step) claimFree(j *Job, slot Slot) *claim {
+	p, ok := t.cells.Place(guaranteeDemand(slot.Demand), placer.ByFree)
+	if !ok || !t.placementOpen(slot, p) {
+		return nil
+	}
+	before := t.State
+	moved := t.idleSlotsOn(slot.Key, p)
+	for _, other := range append(moved, slot) {
+		t.bind(t.slot(other.Key), nil)
+	}
+	c := &claim{slot: slot.Key}
+	if !t.isSpare(slot, p) || !t.bindAll(t.slot(slot.Key), p, moved) {
+		t.State = before
+		return nil
+	}
+	if placement, ok := t.insideBinding(j, t.slot(slot.Key), p, false); ok && t.freeNow(j.Spec.Demand, placement) {
+		c.placement, c.after = placement, t.State
+	}
+	t.State = before
+	if c.placement == nil {
+		return nil
+	}
+	return c
+}
+
+// placementOpen reports whether only idle slots are bound where the placement lies: those of jobs cannot move.
+func (t *step) placementOpen(slot Slot, p placer.Placement) bool {
+	for _, part := range p {
+		load, known := t.cells.Load(part.Worker)
+		if !known || load.Worker.Accelerators-load.Firm < part.Members*slot.Demand.Accelerators {
+			return false
 		}
-		tried++
-		c := t.claimBinding(j, slot, other.Binding, evict)
-		if c != nil && (best == nil || cheaper(c, best)) {
-			c.rebound, c.swapWith = other.Binding, key
-			best = c
+	}
+	return true
+}
+
+// idleSlotsOn returns the idle slots other than key that are bound to a worker of the placement, largest first.
+func (t *step) idleSlotsOn(key SlotKey, p placer.Placement) []Slot {
+	var found []Slot
+	t.Slots(func(other Slot) {
+		if other.Key == key || len(other.Jobs) > 0 {
+			return
 		}
-		if best != nil && len(best.victims) == 0 {
-			break
+		if slices.ContainsFunc(other.Binding, func(part placer.Part) bool { return p.On(part.Worker) > 0 }) {
+			found = append(found, other)
+		}
+	})
+	sortBySize(found)
+	return found
+}
+
+// bindAll binds a slot to a placement and finds places for the slots that made way; it reports whether all fit.
+func (t *step) bindAll(slot Slot, p placer.Placement, moved []Slot) bool {
+	t.bind(slot, p)
+	for _, other := range moved {
+		next, ok := t.cells.Place(guaranteeDemand(other.Demand), placer.BySpare)
+		if !ok {
+			return false
 		}
+		t.bind(t.slot(other.Key), next)
 	}
-	return best
+	return true
 }
 
 // claimBinding returns a way to run the job on the given binding of a slot, or nil.
@@ -273,7 +314,8 @@
 		part.Members*j.Spec.Demand.Cores - (load.Worker.Cores - load.UsedCores - load.PromisedCores),
 	}
 	for _, other := range t.JobsOn(part.Worker) {
-		if other.Phase != PhaseStopping && chosen[other.Spec.ID] == nil && other.Spec.ID != j.Spec.ID {
+		own := other.Spec.ID == j.Spec.ID && j.Phase == PhaseWaiting
+		if other.Phase != PhaseStopping && chosen[other.Spec.ID] == nil && !own {
 			continue
 		}
 		h := holdingOf(other, part.Worker)
@@ -291,8 +333,7 @@
 			continue
 		}
 		own := other.Slot == slot && slot != SlotKey{} && other.Spec.Class > j.Spec.Class
-		young := other.Phase == PhaseRunning && t.now-other.Started < minimumRun
-		if own || other.Borrowed() && !young {
+		if own || other.Borrowed() && !t.spared(other, minimumRun) {
 			found = append(found, other)
 		}
 	}
@@ -307,6 +348,15 @@
 	return found
 }
 
+// spared reports whether a reservation lets a running borrower be: it started only just, or it cannot keep its
+// progress and has lost it once already.
+func (t *step) spared(j *Job, minimumRun timekeeper.Millis) bool {
+	if minimumRun == 0 || j.Phase != PhaseRunning {
+		return false
+	}
+	return t.now-j.Started < minimumRun || !j.Spec.Checkpoint && j.Preempted > 0
+}
+
 // evictAll stops the victims; those that only waited for their place go back to the queue.
 func (t *step) evictAll(victims []*Job) {
 	for _, v := range victims {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -9,14 +9,18 @@
 )
 
 const (
+	// longestReview is the longest time between two looks at a job that waits.
+	longestReview = 2 * timekeeper.Minute
 	// maxReservations bounds the gangs that hold a reservation at once.
 	maxReservations = 2
+	// maxOverdue bounds them together with jobs past their bound; the others wait for one of these to start.
+	maxOverdue = 6
 	// planCells bounds the cells that a plan compares, by free and by reclaimable accelerators each.
 	planCells = 16
 	// restartCost is the run time that stopping a job is taken to cost even when it checkpoints.
 	restartCost = 20 * timekeeper.Second
 	// moveGain is how many times over a move must pay.
-	moveGain = 2
+	moveGain = 4
 )
 
 // fireTimers handles every timer that is due; one whose reason has passed does nothing.
@@ -57,10 +61,16 @@
 
 // review looks for a way to run a gang that waits: by moving smaller jobs, then by a reservation.
 func (t *step) review(j *Job) {
-	if t.canReserve(j) && (t.moveOthers(j) || t.reserve(j)) {
+	if t.canReserve(j) && (t.overdue(j) || t.moveOthers(j) || t.reserve(j)) {
 		return
 	}
-	t.setTimer(t.now+reviewEvery, timerReview, j.Spec.ID, j.Attempt)
+	t.setTimer(t.now+reviewPause(t.now-j.Enqueued), timerReview, j.Spec.ID, j.Attempt)
+}
+
+// reviewPause grows with the wait, so that a long queue costs little.
+func reviewPause(waited timekeeper.Millis) timekeeper.Millis {
+	const share = 8
+	return min(max(reviewEvery, waited/share), longestReview)
 }
 
 func (t *step) canReserve(j *Job) bool {
@@ -85,7 +95,7 @@
 	if !ok {
 		return false
 	}
-	gain := int64(total) * int64(max(j.Enqueued+t.policy.WaitBound-t.now, 0))
+	gain := int64(total) * int64(t.now-j.Enqueued) // who has waited long waits long
 	if moveGain*(best.cost+restartWork(best.victims)) >= gain {
 		return false
 	}
@@ -132,18 +142,106 @@
 	return n
 }
 
-// ripen plans anew, since the cheapest cell may be another by now, and stops the borrowers there.
+// ripen stops the borrowers on a reservation's place, as far as they may be stopped now.
 func (t *step) ripen(j *Job) {
-	queued := *j
-	queued.Phase, queued.Placement, queued.RipeAt = PhaseQueued, nil, 0
-	t.change(j, &queued)
-	best, ok := t.planCell(&queued, t.policy.MinimumRun)
+	t.press(j)
+}
+
+// overdue gives a queued job that has waited for its bound the place whose borrowers lose least, or one in which
+// jobs under a guarantee still run, and begins to stop the borrowers there.
+func (t *step) overdue(j *Job) bool {
+	if t.policy.ReserveAfter == 0 || t.now-j.Enqueued < t.policy.WaitBound || t.reservations() >= maxOverdue {
+		return false
+	}
+	best, ok := t.planCell(j, 0)
 	if !ok {
-		t.setTimer(t.now+reviewEvery, timerReview, j.Spec.ID, j.Attempt)
-		return
+		best.placement, ok = t.hold(j)
+	}
+	if !ok {
+		return false
+	}
+	t.place(j, best.placement, SlotKey{}, int64(t.now))
+	if next := t.mustJob(j.Spec.ID); next.Phase == PhaseWaiting {
+		t.press(next)
+	}
+	return true
+}
+
+// press stops the borrowers that stand in a waiting job's way and are not spared. Those that are come later: nothing
+// new is placed there, so that the wait beyond the bound is at most the shortest run that is left to a borrower, and
+// the end of jobs under a guarantee.
+func (t *step) press(j *Job) {
+	for _, part := range j.Placement {
+		for _, v := range t.candidates(j, SlotKey{}, part.Worker, t.policy.MinimumRun, nil) {
+			short := t.shortage(j, part, nil)
+			if short.accelerators <= 0 && short.cores <= 0 {
+				break
+			}
+			t.evictAll([]*Job{v})
+		}
+	}
+	t.setTimer(t.now+reviewPause(t.now-j.RipeAt), timerRipe, j.Spec.ID, j.Attempt)
+}
+
+// hold finds the place of an overdue job with least under guarantees, and binds idle guaranteed shapes there
+// elsewhere where they fit.
+func (t *step) hold(j *Job) (placer.Placement, bool) {
+	d := j.Spec.Demand
+	if d.Accelerators == 0 {
+		return nil, false
+	}
+	var best placer.Placement
+	bestFirm := 0
+	for _, id := range t.cells.Largest(placer.ByReclaimable, d.Within, planCells) {
+		p, firm, ok := t.holdIn(j, id)
+		if ok && (best == nil || firm < bestFirm) {
+			best, bestFirm = p, firm
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	t.moveIdleAway(best)
+	return best, true
+}
+
+// holdIn fills a cell by what its workers have, those with least under guarantees first, and counts how much is.
+func (t *step) holdIn(j *Job, cell string) (placer.Placement, int, bool) {
+	d := j.Spec.Demand
+	var rooms []room
+	for _, worker := range t.cells.WorkersIn(d.Within, cell) {
+		load, _ := t.cells.Load(worker)
+		if load.Usable && !slices.Contains(j.FailedOn, worker) {
+			rooms = append(rooms, room{worker, load.Worker.Accelerators / d.Accelerators, load.Reclaimable() / d.Accelerators})
+		}
+	}
+	p, ok := fillRooms(rooms, d.Members)
+	firm := 0
+	for _, part := range p {
+		load, _ := t.cells.Load(part.Worker)
+		firm += load.Firm
+	}
+	return p, firm, ok
+}
+
+// moveIdleAway binds idle slots that lie where p does elsewhere, as far as they fit.
+func (t *step) moveIdleAway(p placer.Placement) {
+	for _, slot := range t.idleSlotsOn(SlotKey{}, p) {
+		before := t.State
+		t.bind(slot, nil)
+		elsewhere := t.cells
+		for _, part := range p {
+			load, _ := elsewhere.Load(part.Worker)
+			load.Bound = load.Worker.Accelerators
+			elsewhere = elsewhere.WithLoads(load)
+		}
+		next, ok := elsewhere.Place(guaranteeDemand(slot.Demand), placer.BySpare)
+		if !ok {
+			t.State = before
+			continue
+		}
+		t.bind(t.slot(slot.Key), next)
 	}
-	t.evictAll(best.victims)
-	t.place(&queued, best.placement, SlotKey{}, 0)
 }
 
 // planCell compares the likeliest cells and returns the place whose victims lose least.
@@ -178,6 +276,9 @@
 	}
 	var rooms []room
 	for _, worker := range t.cells.WorkersIn(d.Within, cell) {
+		if slices.Contains(j.FailedOn, worker) {
+			continue
+		}
 		load, _ := t.cells.Load(worker)
 		rooms = append(rooms, room{worker, load.Reclaimable() / d.Accelerators, load.Free() / d.Accelerators})
 	}
@@ -190,18 +291,37 @@
 	return plan{p, victims, cost}, ok
 }
 
-// backfill places a job on accelerators that a reservation holds, if it can be stopped without loss or is expected
-// to end before the reservation ripens.
+// advanceReservations starts reservations early whose gang fits somewhere now.
+func (t *step) advanceReservations() {
+	for it := t.waiting.Iterator(); !it.Done(); {
+		id, _, _ := it.Next()
+		j := t.mustJob(id)
+		if j.Phase != PhaseWaiting || j.RipeAt == 0 {
+			continue
+		}
+		if p, ok := t.withoutPromise(j).Place(j.Spec.Demand, placer.ByFree); ok && t.isFree(j.Spec.Demand, p) {
+			queued := *j
+			queued.Phase, queued.Placement, queued.RipeAt = PhaseQueued, nil, 0
+			t.change(j, &queued)
+			t.place(&queued, p, SlotKey{}, 0)
+		}
+	}
+}
+
+// backfill places a job on accelerators that a reservation holds, if it can be stopped without loss when the
+// reservation ripens or is expected to end before.
 func (t *step) backfill(j *Job) bool {
 	for it := t.waiting.Iterator(); !it.Done(); {
 		id, _, _ := it.Next()
 		r := t.mustJob(id)
-		if r.RipeAt == 0 || !j.Spec.Checkpoint && t.now+t.expectedRun(j.Spec) > r.RipeAt {
+		if r.RipeAt == 0 || r.RipeAt-t.now < t.policy.MinimumRun || !j.Spec.Checkpoint && t.now+t.expectedRun(j.Spec) > r.RipeAt {
 			continue
 		}
 		p, ok := t.withoutPromise(r).Place(j.Spec.Demand, placer.ByFree)
-		if ok && p.Members() == j.Spec.Demand.Members {
-			t.place(j, p, SlotKey{}, 0)
+		if ok {
+			next := *j
+			next.Placement = p
+			t.arm(j, &next) // free but for the promise, which the reservation takes back when it ripens
 			return true
 		}
 	}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -226,3 +226,23 @@
 		}
 	}
 }
+
+// QueuedJobs calls visit with every job that waits for a place.
+func (s State) QueuedJobs(visit func(*Job)) {
+	for it := s.queue.Iterator(); !it.Done(); {
+		key, _, _ := it.Next()
+		j, _ := s.jobs.Get(key.job)
+		visit(j)
+	}
+}
+
+// Quarantined returns the workers that are quarantined now.
+func (s State) Quarantined() []string {
+	var found []string
+	for it := s.health.Iterator(); !it.Done(); {
+		if worker, h, _ := it.Next(); h.Quarantined {
+			found = append(found, worker)
+		}
+	}
+	return found
+}
--- a/internal/timekeeper/millis.go
+++ b/internal/timekeeper/millis.go
@@ -46,6 +46,9 @@
 	return nil
 }
 
+// MarshalYAML writes a span as UnmarshalYAML reads it.
+func (m Millis) MarshalYAML() (any, error) { return m.Duration().String(), nil }
+
 // A Clock tells the time; implementations are safe for concurrent use.
 type Clock interface {
 	// Now returns the present time in milliseconds from the clock's origin.
