Count an agent as heard when it is announced

Cause: an agent that was frozen past its lease came back, was attached, and was declared lost again twice within 300 ms: the leader judged it by its last round from before the silence, since its entry reports it only with the next round. Its gang lost two attempts for nothing.

Ruled out: the agent (it held no member and its stream lived), the entry (it announced once each time).

Change: announcing an agent counts as hearing it.

--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -62,6 +62,9 @@
 	return RoundResponse{Serial: r.Serial, Suspects: l.suspects(now, s), InForce: s.InForce}
 }
 
+// Attached counts an agent as heard that is being announced: its entry reports it with the next round only.
+func (l *Liveness) Attached(now timekeeper.Millis, agent string) { l.heard[agent] = now }
+
 func (rec *entryRecord) take(now timekeeper.Millis, r RoundRequest) {
 	rec.heard, rec.serial, rec.acked, rec.leaving = now, r.Serial, r.Acked, r.Leaving
 	rec.missed = r.Missed
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -105,7 +105,10 @@
 // submit stamps a command and puts it on the log.
 func (s *Server) submit(ctx context.Context, command registrar.Command) (*ProposeResponse, error) {
 	s.mu.Lock()
-	_, leads := s.lead()
+	liveness, leads := s.lead()
+	if leads && command.Attach != nil {
+		liveness.Attached(s.clock.Now(), command.Attach.ID)
+	}
 	command.At, command.Version = s.now(), registrar.Version
 	s.mu.Unlock()
 	response := &ProposeResponse{Standing: s.standing()}
