Propose every announcement of an agent, however the entry's state reads

Cause: a backend server that was restarted within milliseconds stayed "leaving" for good: the entry compared its return with a state that had not yet applied the departure, took it for known and proposed nothing. Found by 100 planned restarts under load.

Ruled out: the agent (its log shows departure and return, in order), the commit (the departure was applied everywhere).

Change: an announcement is always proposed; one that repeats what is known changes no worker, so that an operator's drain stays.

--- a/internal/distributor/hub.go
+++ b/internal/distributor/hub.go
@@ -9,7 +9,6 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/lagoonmill/lagoonmill/internal/controller"
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/liaison"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
@@ -21,7 +20,7 @@
 // Hub holds the agents attached to an entry. mu guards the table and each attachment's fields; nothing on the path
 // of a request takes it.
 type Hub struct {
-	client  *controller.Client
+	client  proposer
 	machine *registrar.Machine
 	clock   timekeeper.Clock
 	log     logger.Logger
@@ -45,7 +44,7 @@
 }
 
 // NewHub returns a hub without agents.
-func NewHub(client *controller.Client, machine *registrar.Machine, log logger.Logger) *Hub {
+func NewHub(client proposer, machine *registrar.Machine, log logger.Logger) *Hub {
 	return &Hub{
 		client: client, machine: machine, log: log, clock: timekeeper.Monotonic{},
 		reports: newReporter(client, log), attached: map[string]*attachment{},
@@ -91,14 +90,17 @@
 	}
 }
 
-// announce puts what an agent says of itself on the log, where it says something new.
+// proposer puts commands on the log.
+type proposer interface {
+	Propose(context.Context, registrar.Command) (registrar.Answer, error)
+}
+
+// announce puts what an agent says of itself on the log. It does not look whether the state says so already: the
+// state here may be of before another change of the same agent.
 func (h *Hub) announce(ctx context.Context, a registrar.Agent) error {
 	if a.Worker != nil && a.Worker.ID != a.ID {
 		return fmt.Errorf("agent %s declares worker %s: the names must be equal", a.ID, a.Worker.ID)
 	}
-	if known, ok := h.machine.State().Agent(a.ID); ok && sameAgent(known, a) {
-		return nil
-	}
 	answer, err := h.client.Propose(ctx, registrar.Command{Attach: &a})
 	if err != nil {
 		return fmt.Errorf("announce agent %s: %w", a.ID, err)
@@ -106,18 +108,6 @@
 	return answer.Err()
 }
 
-func sameAgent(a, b registrar.Agent) bool {
-	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Zone == b.Zone &&
-		equalValues(a.Worker, b.Worker) && equalValues(a.Runner, b.Runner)
-}
-
-func equalValues[T comparable](a, b *T) bool {
-	if a == nil || b == nil {
-		return a == b
-	}
-	return *a == *b
-}
-
 func (h *Hub) attach(agent registrar.Agent, end context.CancelFunc) *attachment {
 	a := &attachment{
 		agent: agent, heard: h.clock.Now(), members: map[string]liaison.MemberStatus{}, mail: newMailbox(), end: end,
--- a/internal/distributor/reporter.go
+++ b/internal/distributor/reporter.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/lagoonmill/lagoonmill/internal/controller"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/registrar"
 	"github.com/lagoonmill/lagoonmill/internal/scheduler"
@@ -20,7 +19,7 @@
 // reporter proposes members' reports in batches. A report that the state has not taken up after a while is added
 // again by the next reconciliation. mu guards both maps.
 type reporter struct {
-	client *controller.Client
+	client proposer
 	log    logger.Logger
 
 	mu      sync.Mutex
@@ -29,7 +28,7 @@
 	ready   chan struct{}
 }
 
-func newReporter(client *controller.Client, log logger.Logger) *reporter {
+func newReporter(client proposer, log logger.Logger) *reporter {
 	return &reporter{
 		client: client, log: log, ready: make(chan struct{}, 1),
 		waiting: map[string]scheduler.Event{}, sent: map[string]time.Time{},
--- a/internal/registrar/state.go
+++ b/internal/registrar/state.go
@@ -170,7 +170,8 @@
 	if restarted && old.Worker != nil {
 		events = append(events, scheduler.Event{WorkerLost: &scheduler.WorkerLost{Worker: old.Worker.ID}})
 	}
-	if a.Worker != nil {
+	again := known && !restarted && old.Worker != nil && a.Worker != nil && *old.Worker == *a.Worker
+	if a.Worker != nil && !again {
 		events = append(events, scheduler.Event{WorkerJoined: a.Worker})
 	}
 	s.agents = s.agents.Set(a.ID, a)
