Check settings, pages, gate, members and answers; record traces

Cause: the parts between the tested core and the tested whole had no tests of their own, and trace record was missing.

Ruled out: leaving them to the process tests, which do not reach every kind of wrong answer or order.

Beats every 500 ms, heartbeats every 120 ms and elections after 500 ms in place of 250, 60 and 400 ms, for the processor time of idle agents.

Found by the tests, seen failing first: requests that the gate refused counted as in flight for a moment, so that a burst kept others from free slots.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RED := $(shell scripts/known-red.sh)
 SKIP := $(if $(RED),-skip '$(RED)')
 
-.PHONY: build demo test check fuzz bench
+.PHONY: build demo test check docs prove fuzz bench
 
 build: ## builds the programs into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +20,12 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+docs: ## writes the pages of docs/ that are made from the code
+	$(GO) test ./internal/commander -run TestPagesMatchTheCode -update
+
+prove: build ## shows the promises on separate processes under failure; takes several minutes
+	$(GO) test -tags proof -timeout 20m -v ./internal/prover
+
 fuzz: ## fuzzes the readers of journals and documents, a minute each
 	$(GO) test ./internal/journaler -run '^$$' -fuzz FuzzReadAll -fuzztime 1m
 	$(GO) test ./internal/parser -run '^$$' -fuzz FuzzParse -fuzztime 1m
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -171,11 +171,11 @@
 		refuse(w, "the backend server is leaving or gone")
 		return
 	}
-	defer g.inFlight.Add(-1)
-	if g.inFlight.Add(1) > int64(s.announcement.Slots) {
+	if !g.takeSlot(s.announcement.Slots) {
 		refuse(w, "all slots are taken")
 		return
 	}
+	defer g.inFlight.Add(-1)
 	if !g.open(s) {
 		refuse(w, "the agent is leaving") // Leave came between the two looks, and may have seen nothing in flight
 		return
@@ -197,6 +197,20 @@
 	})
 }
 
+// takeSlot takes a slot if one is free. A request that is refused never counts as in flight, else a burst of them
+// would keep others from free slots.
+func (g *Gate) takeSlot(slots int) bool {
+	for {
+		n := g.inFlight.Load()
+		if n >= int64(slots) {
+			return false
+		}
+		if g.inFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
 // exchange makes the call and hands the answer back. A request that must not run twice goes on to its end even if
 // the entry has gone, so that a resend can be told what came of it.
 func (g *Gate) exchange(w http.ResponseWriter, r *http.Request, s *served, request runner.Request) {
--- a/internal/agent/supervisor.go
+++ b/internal/agent/supervisor.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	leaseCheck   = 50 * time.Millisecond
+	leaseCheck   = 100 * time.Millisecond
 	platformCall = 2 * time.Second
 	taskWait     = 2 * timekeeper.Second
 	taskPause    = 200 * time.Millisecond
--- /dev/null
+++ b/internal/authenticator/tokens_test.go
@@ -0,0 +1,35 @@
+package authenticator
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestIdentify checks who a token belongs to, and that errors never show one.
+func TestIdentify(t *testing.T) {
+	tokens, err := Parse("# comment\noperator anna secret-a\n\nworkspace planner secret-p\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for header, want := range map[string]Identity{
+		"Bearer secret-a": {KindOperator, "anna"}, "Bearer secret-p": {KindWorkspace, "planner"},
+		"Bearer secret": {}, "Basic secret-a": {}, "": {},
+	} {
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header.Set("Authorization", header)
+		got, err := tokens.Identify(r)
+		if diff := cmp.Diff(want, got); diff != "" || (err == nil) != (want.Kind != 0) {
+			t.Errorf("%q: %v (-want +got):\n%s", header, err, diff)
+		}
+	}
+	if _, err := Parse("workspace secret-x"); err == nil || strings.Contains(err.Error(), "secret-x") || !strings.Contains(err.Error(), "line 1") {
+		t.Errorf("a bad line gave %v", err)
+	}
+	planner := Identity{KindWorkspace, "planner"}
+	if planner.MayUse("tickets") || !planner.MayUse("planner") || !(Identity{KindOperator, "a"}).MayUse("tickets") {
+		t.Error("a workspace reaches another's, or an operator does not reach all")
+	}
+}
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/lagoonmill/lagoonmill/internal/operator"
+	"github.com/lagoonmill/lagoonmill/internal/recorder"
 )
 
 const (
@@ -146,3 +147,32 @@
 	}
 	return &exitError{code, errors.New(p.Error)}
 }
+
+// stream reads a recording until ctx ends. An end before that is an error: the recording would lack the rest.
+func (a *apiClient) stream(ctx context.Context, path string) ([]recorder.Line, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.servers[0]+path, nil)
+	if err != nil {
+		return nil, usageError("make call: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+a.token)
+	resp, err := (&http.Client{}).Do(req)
+	if err != nil {
+		return nil, &exitError{ExitUnavailable, fmt.Errorf("open recording: %w", err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+		return nil, problemOf(resp.StatusCode, data)
+	}
+	var lines []recorder.Line
+	for dec := json.NewDecoder(resp.Body); ; {
+		var line recorder.Line
+		if err := dec.Decode(&line); err != nil {
+			if ctx.Err() != nil {
+				return lines, nil
+			}
+			return nil, &exitError{ExitUnavailable, fmt.Errorf("the recording broke off: %w", err)}
+		}
+		lines = append(lines, line)
+	}
+}
--- /dev/null
+++ b/internal/commander/pages.go
@@ -0,0 +1,78 @@
+package commander
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lagoonmill/lagoonmill/internal/configurer"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+)
+
+// Pages returns the pages of docs/ that are made from the code, by file name.
+func Pages() map[string]string {
+	return map[string]string{"settings.md": settingsPage(), "events.md": eventsPage(), "commands.md": commandsPage()}
+}
+
+func settingsPage() string {
+	var b strings.Builder
+	b.WriteString("# Settings of lagoonmilld\n\nMade from the code by `make docs`. Each setting is a flag or an environment variable; the flag goes first. A\nsetting that cannot be used is named with the accepted form, and the daemon ends with code 2 before it starts\nanything.\n")
+	for _, s := range configurer.Table() {
+		roles := "every role"
+		if len(s.Roles) > 0 {
+			var names []string
+			for _, r := range s.Roles {
+				names = append(names, string(r))
+			}
+			roles = strings.Join(names, ", ")
+		}
+		value := "none; required"
+		if s.Default != "" {
+			value = "`" + s.Default + "`"
+		}
+		fmt.Fprintf(&b, "\n## --%s\n\n%s\n\n- environment: `%s`\n- accepts: %s\n- default: %s\n- needed by: %s\n", s.Name, s.Help, s.Env(), s.Form, value, roles)
+	}
+	return b.String()
+}
+
+func eventsPage() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\nMade from the code by `make docs`. Every log line is a JSON object with `time`, `level`, `process`, `event` and\n`message`; numbers are never used again for another kind.\n\n| event | level | message | meaning |\n|---|---|---|---|\n")
+	for _, e := range logger.Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Severity, e.Text, e.Help)
+	}
+	return b.String()
+}
+
+func commandsPage() string {
+	var b strings.Builder
+	root := toolCommand()
+	fmt.Fprintf(&b, "# Commands of lagoonmill\n\nMade from the code by `make docs`.\n\n%s\n\nFlags of every command:\n\n", root.Description)
+	writeFlags(&b, root.Flags)
+	for _, c := range root.Commands {
+		writeCommand(&b, "lagoonmill", c)
+	}
+	return b.String()
+}
+
+func writeCommand(b *strings.Builder, prefix string, c *cli.Command) {
+	name := prefix + " " + c.Name
+	if len(c.Commands) == 0 {
+		fmt.Fprintf(b, "\n## %s %s\n\n%s.\n\n%s\n\n", name, c.ArgsUsage, c.Usage, strings.Replace(c.Description, "Example:\n   ", "Example: `", 1)+"`")
+		writeFlags(b, c.Flags)
+	}
+	for _, sub := range c.Commands {
+		writeCommand(b, name, sub)
+	}
+}
+
+func writeFlags(b *strings.Builder, flags []cli.Flag) {
+	for _, f := range flags {
+		usage := ""
+		if d, ok := f.(cli.DocGenerationFlag); ok {
+			usage = d.GetUsage()
+		}
+		fmt.Fprintf(b, "- `--%s` %s\n", f.Names()[0], usage)
+	}
+}
--- a/internal/commander/trace.go
+++ b/internal/commander/trace.go
@@ -6,9 +6,11 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/lagoonmill/lagoonmill/internal/recorder"
 	"github.com/lagoonmill/lagoonmill/internal/replayer"
 	"github.com/lagoonmill/lagoonmill/internal/reporter"
 )
@@ -194,4 +196,37 @@
 	return reporter.WritePlot(result, c.String("out"))
 }
 
-func recordCommand() *cli.Command { return &cli.Command{Name: "record", Hidden: true} }
+func recordCommand() *cli.Command {
+	return &cli.Command{
+		Name: "record", Usage: "record a running cluster's inputs as a trace",
+		Description: example("lagoonmill trace record --for 24h --deployment taukvads --out day.txtar"),
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Value: time.Hour, Usage: "how long to record"},
+			&cli.StringFlag{Name: "deployment", Value: "recorded", Usage: "the name to give it"},
+			&cli.FloatFlag{Name: "completion-weight", Value: 0.5, Usage: "what completion time weighs against fragmentation, 0 to 1"},
+			&cli.StringFlag{Name: "out", Required: true, Usage: "the file to write"},
+		},
+		Action: withClient(recordTrace),
+	}
+}
+
+func recordTrace(ctx context.Context, c *cli.Command, api *apiClient) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("for"))
+	defer cancel()
+	lines, err := api.stream(ctx, "/v1/trace")
+	if err != nil {
+		return err
+	}
+	trace, err := recorder.Assemble(lines, c.String("deployment"), c.Float("completion-weight"))
+	if err != nil {
+		return fmt.Errorf("assemble trace: %w", err)
+	}
+	data, err := trace.Format()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.String("out"), data, traceFileMode); err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	return nil
+}
--- a/internal/configurer/table.go
+++ b/internal/configurer/table.go
@@ -87,8 +87,8 @@
 		{"token-file", "", []Role{RoleEntry}, "a readable file of lines 'operator NAME TOKEN' or 'workspace NAME TOKEN'", "Who may call.", setTokenFile},
 		{"drain-time", "30s", nil, formSpan, "The longest wait for what is in flight at a planned stop.", span(func(s *Settings) *time.Duration { return &s.DrainTime })},
 		{"balancer-interval", "2s", []Role{RoleEntry}, formSpan, "How long an entry that stops still accepts, until the balancer has noticed.", span(func(s *Settings) *time.Duration { return &s.BalancerInterval })},
-		{"election-time", "400ms", []Role{RoleControl}, formSpan, "The shortest silence of the leader before an election.", span(func(s *Settings) *time.Duration { return &s.Election })},
-		{"heartbeat-time", "60ms", []Role{RoleControl}, formSpan, "The time between the leader's heartbeats; less than a third of election-time.", span(func(s *Settings) *time.Duration { return &s.Heartbeat })},
+		{"election-time", "500ms", []Role{RoleControl}, formSpan, "The shortest silence of the leader before an election.", span(func(s *Settings) *time.Duration { return &s.Election })},
+		{"heartbeat-time", "120ms", []Role{RoleControl}, formSpan, "The time between the leader's heartbeats; less than a third of election-time.", span(func(s *Settings) *time.Duration { return &s.Heartbeat })},
 		{"snapshot-every", "20000", []Role{RoleControl}, "a whole number from 100 to 10000000", "Log entries between two snapshots.", setSnapshotEvery},
 		{"log-file", "-", nil, "a file that can be appended to, or - for standard error", "Where events are logged.", setLogFile},
 	}
--- a/internal/distributor/follower.go
+++ b/internal/distributor/follower.go
@@ -12,7 +12,10 @@
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 )
 
-const followPause = 100 * time.Millisecond
+const (
+	followPause = 100 * time.Millisecond
+	lagCheck    = 500 * time.Millisecond
+)
 
 // errLagging ends a stream that stays behind what the leader says is committed.
 var errLagging = errors.New("the replica followed is behind the leader")
@@ -66,7 +69,7 @@
 	items := make(chan *controller.FollowItem)
 	ended := make(chan error, 1)
 	go func() { ended <- receive(ctx, stream, items) }()
-	watch := time.NewTicker(followPause)
+	watch := time.NewTicker(lagCheck)
 	defer watch.Stop()
 	for {
 		select {
--- a/internal/imitator/runner.go
+++ b/internal/imitator/runner.go
@@ -163,6 +163,7 @@
 		w.Header().Set("Content-Length", fmt.Sprint(len(right.body)))
 		w.Header().Set(runner.HeaderRequest, right.id)
 		_, _ = w.Write(right.body[:len(right.body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case faultWrongID:
 		write(w, right.id+"x", right.body, "")
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -25,6 +25,7 @@
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/meter"
 	"github.com/lagoonmill/lagoonmill/internal/operator"
+	"github.com/lagoonmill/lagoonmill/internal/recorder"
 	"github.com/lagoonmill/lagoonmill/internal/registrar"
 	"github.com/lagoonmill/lagoonmill/internal/router"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
@@ -52,6 +53,7 @@
 	router   *router.Router
 	limiter  *limiter.Limiter
 	handler  *caller.Handler
+	recorder recorder.Recorder
 	meter    meter.Meter
 	meterEnd io.Closer
 	http     *http.Server
@@ -107,7 +109,7 @@
 	routes := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	balancer.Register(routes, e.holder.Ready)
 	routes.Handle("/metrics", e.meter.Handler()).Methods(http.MethodGet)
-	operator.New(e.client, e.machine, tokens).Register(routes)
+	operator.New(e.client, e.machine, tokens, &e.recorder).Register(routes)
 	e.handler.Register(routes)
 	e.http = &http.Server{Handler: e.closeWhileDraining(routes), ReadHeaderTimeout: readHeaderTimeout}
 }
@@ -133,6 +135,7 @@
 		e.limiter.Set(limitsOf(s))
 	}
 	e.hub.StateChanged(s, effect, restored)
+	e.recorder.Observe(s, c, effect)
 }
 
 func limitsOf(s registrar.State) limiter.Settings {
--- a/internal/liaison/messages.go
+++ b/internal/liaison/messages.go
@@ -15,7 +15,7 @@
 
 // The intervals between an agent and its entry.
 const (
-	BeatInterval  = 250 * timekeeper.Millis(1)
+	BeatInterval  = 500 * timekeeper.Millis(1)
 	SilenceBound  = 1500 * timekeeper.Millis(1) // silence after which either side gives the stream up
 	WholeInterval = 5 * timekeeper.Second       // between beats that name every member though none changed
 )
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -18,6 +18,7 @@
 
 	"github.com/lagoonmill/lagoonmill/internal/authenticator"
 	"github.com/lagoonmill/lagoonmill/internal/controller"
+	"github.com/lagoonmill/lagoonmill/internal/recorder"
 	"github.com/lagoonmill/lagoonmill/internal/registrar"
 	"github.com/lagoonmill/lagoonmill/internal/scheduler"
 )
@@ -33,14 +34,15 @@
 // API serves the administration API of one entry. Reads are of the state that the entry has applied, which after a
 // change through the same entry holds that change; with ?confirm=yes they hold all that was committed before.
 type API struct {
-	client  *controller.Client
-	machine *registrar.Machine
-	tokens  authenticator.Tokens
+	client   *controller.Client
+	machine  *registrar.Machine
+	tokens   authenticator.Tokens
+	recorder *recorder.Recorder
 }
 
 // New returns the API.
-func New(client *controller.Client, machine *registrar.Machine, tokens authenticator.Tokens) *API {
-	return &API{client, machine, tokens}
+func New(client *controller.Client, machine *registrar.Machine, tokens authenticator.Tokens, r *recorder.Recorder) *API {
+	return &API{client, machine, tokens, r}
 }
 
 // handler serves one call of a known caller. It returns the value to encode, or an error.
@@ -68,6 +70,7 @@
 	v1.HandleFunc("/cluster/seats", operators(a.addSeat)).Methods(http.MethodPost)
 	v1.HandleFunc("/cluster/seats/{address}", operators(a.removeSeat)).Methods(http.MethodDelete)
 	v1.HandleFunc("/workers/{id}/drain", operators(a.drain)).Methods(http.MethodPost)
+	v1.HandleFunc("/trace", a.trace).Methods(http.MethodGet)
 	v1.HandleFunc("/agents", operators(a.agents)).Methods(http.MethodGet)
 }
 
@@ -386,3 +389,26 @@
 	event := scheduler.Event{WorkerDrained: &scheduler.WorkerDrained{Worker: variable(r, "id"), Drained: d.Drained, Evict: d.Evict}}
 	return a.propose(r, who, registrar.Command{Events: []scheduler.Event{event}})
 }
+
+// trace streams the scheduler's inputs as they are applied, one JSON value a line, until the caller goes.
+func (a *API) trace(w http.ResponseWriter, r *http.Request) {
+	who, err := a.tokens.Identify(r)
+	if err != nil || who.Kind != authenticator.KindOperator {
+		writeProblem(w, http.StatusForbidden, Problem{Code: "forbidden", Error: errForbidden.Error()})
+		return
+	}
+	lines, end := a.recorder.Subscribe(a.machine.State())
+	defer end()
+	enc := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case line, ok := <-lines:
+			if !ok || enc.Encode(line) != nil || flush.Flush() != nil {
+				return
+			}
+		}
+	}
+}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -40,17 +40,17 @@
 
 // Timing holds the intervals of the protocol; a zero field takes its default.
 type Timing struct {
-	Election  timekeeper.Millis // shortest silence of the leader before an election, default 400 ms
-	Heartbeat timekeeper.Millis // default 60 ms
+	Election  timekeeper.Millis // shortest silence of the leader before an election, default 500 ms
+	Heartbeat timekeeper.Millis // default 120 ms
 }
 
 // WithDefaults returns a copy in which zero fields have their defaults.
 func (t Timing) WithDefaults() Timing {
 	if t.Election == 0 {
-		t.Election = 400
+		t.Election = 500
 	}
 	if t.Heartbeat == 0 {
-		t.Heartbeat = 60
+		t.Heartbeat = 120
 	}
 	return t
 }
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -19,7 +19,7 @@
 const (
 	proposalBatch      = 256
 	inboxMessages      = 4096
-	tickInterval       = 20 * timekeeper.Millis(1)
+	tickInterval       = 30 * timekeeper.Millis(1)
 	snapshotEntries    = 20_000
 	maxFollowedEntries = 512
 )
--- /dev/null
+++ b/internal/replicator/node_test.go
@@ -0,0 +1,274 @@
+package replicator
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// counter is a state machine that adds up.
+type counter struct {
+	mu    sync.Mutex
+	total uint64
+}
+
+func (c *counter) Apply(_ uint64, command []byte) any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total += binary.BigEndian.Uint64(command)
+	return c.total
+}
+
+func (c *counter) Capture() func() ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	data := binary.BigEndian.AppendUint64(nil, c.total)
+	return func() ([]byte, error) { return data, nil }
+}
+
+func (c *counter) Restore(_ uint64, data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total = binary.BigEndian.Uint64(data)
+	return nil
+}
+
+// wire joins nodes of one process. mu guards the table.
+type wire struct {
+	mu    sync.Mutex
+	nodes map[ReplicaID]*Node
+}
+
+func (w *wire) Send(_ Membership, messages []Message) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range messages {
+		if n := w.nodes[m.To]; n != nil {
+			n.Receive(m)
+		}
+	}
+}
+
+// group is a running set of nodes with journals on disk.
+type group struct {
+	nodes  []*Node
+	cancel context.CancelFunc
+}
+
+func startGroup(tb testing.TB, n int, every uint64) *group {
+	w := &wire{nodes: map[ReplicaID]*Node{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &group{cancel: cancel}
+	for i := range n {
+		node := startNode(tb, ctx, w, tb.TempDir(), uint64(i), every)
+		g.nodes = append(g.nodes, node)
+	}
+	g.nodes[0].Bootstrap("n0", []string{"n0", "n1", "n2"})
+	leader := g.leader(tb)
+	for i, node := range g.nodes[1:] {
+		learner := Member{ID: node.ID(), Address: fmt.Sprint("n", i+1)}
+		for _, change := range []func(Membership) Membership{
+			func(m Membership) Membership { return m.WithLearner(learner.ID, learner.Address) },
+			func(m Membership) Membership { next, _ := m.Promote(learner); return next },
+		} {
+			g.changeMembership(tb, leader, change)
+		}
+	}
+	return g
+}
+
+func startNode(tb testing.TB, ctx context.Context, w *wire, dir string, seed, every uint64) *Node {
+	j, err := journaler.Open(dir)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	node, err := NewNode(NodeConfig{
+		Journal: j, Machine: &counter{}, Transport: w, Clock: timekeeper.Monotonic{}, Seed: seed, SnapshotEvery: every,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w.mu.Lock()
+	w.nodes[node.ID()] = node
+	w.mu.Unlock()
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	tb.Cleanup(func() {
+		if err := <-ended; err != nil {
+			tb.Errorf("node: %v", err)
+		}
+		_ = j.Close()
+	})
+	return node
+}
+
+func (g *group) changeMembership(tb testing.TB, leader *Node, change func(Membership) Membership) {
+	for range 200 {
+		err := leader.ChangeMembership(context.Background(), func(m Membership) (Membership, error) { return change(m), nil })
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ErrChangePending) {
+			tb.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	tb.Fatal("membership change stayed pending")
+}
+
+func (g *group) leader(tb testing.TB) *Node {
+	for range 1000 {
+		for _, n := range g.nodes {
+			if n.Status().Role == Leader {
+				return n
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatal("no leader")
+	return nil
+}
+
+// TestNodesAgreeThroughSnapshotsAndHandover proposes from many goroutines while snapshots are taken and leadership is
+// handed over, and checks that every acknowledged command counts once on every node.
+func TestNodesAgreeThroughSnapshotsAndHandover(t *testing.T) {
+	g := startGroup(t, 3, 50)
+	defer g.cancel()
+	const writers, each = 8, 60
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	acked, uncertain := uint64(0), uint64(0)
+	for range writers {
+		wait.Go(func() {
+			for range each {
+				_, err := g.leader(t).Propose(context.Background(), binary.BigEndian.AppendUint64(nil, 1))
+				mu.Lock()
+				if err == nil {
+					acked++
+				} else if errors.Is(err, ErrUncertain) {
+					uncertain++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	if !g.leader(t).Transfer(context.Background()) {
+		t.Error("leadership could not be handed over")
+	}
+	wait.Wait()
+	leader := g.leader(t)
+	index, err := leader.Read(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range g.nodes {
+		for range 500 {
+			if n.view.Load().applied >= index {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		c := n.machine.(*counter)
+		c.mu.Lock()
+		total := c.total
+		c.mu.Unlock()
+		if total < acked || total > acked+uncertain {
+			t.Errorf("a node counts %d, with %d acknowledged and %d uncertain", total, acked, uncertain)
+		}
+	}
+}
+
+// BenchmarkCommit measures commits through three nodes with journals on disk, by the number of proposers at once.
+func BenchmarkCommit(b *testing.B) {
+	for _, proposers := range []int{1, 8, 64, 256} {
+		b.Run(fmt.Sprint("proposers=", proposers), func(b *testing.B) {
+			g := startGroup(b, 3, 0)
+			defer g.cancel()
+			leader := g.leader(b)
+			command := binary.BigEndian.AppendUint64(nil, 1)
+			h := hdr.New(1, int64(10*time.Second), 3)
+			var mu sync.Mutex
+			work := make(chan struct{})
+			var wait sync.WaitGroup
+			b.ResetTimer()
+			for range proposers {
+				wait.Go(func() {
+					for range work {
+						began := time.Now()
+						if _, err := leader.Propose(context.Background(), command); err != nil {
+							b.Error(err)
+						}
+						mu.Lock()
+						_ = h.RecordValue(int64(time.Since(began)))
+						mu.Unlock()
+					}
+				})
+			}
+			for range b.N {
+				work <- struct{}{}
+			}
+			close(work)
+			wait.Wait()
+			b.ReportMetric(float64(h.ValueAtQuantile(50))/1e6, "p50-ms")
+			b.ReportMetric(float64(h.ValueAtQuantile(99))/1e6, "p99-ms")
+		})
+	}
+}
+
+// BenchmarkRestart measures opening a journal and restoring its state, by the number of entries and with a snapshot.
+func BenchmarkRestart(b *testing.B) {
+	for _, entries := range []uint64{1_000, 10_000, 100_000} {
+		for _, snapshot := range []bool{false, true} {
+			b.Run(fmt.Sprintf("entries=%d/snapshot=%v", entries, snapshot), func(b *testing.B) {
+				dir := b.TempDir()
+				fillJournal(b, dir, entries, snapshot)
+				b.ResetTimer()
+				for range b.N {
+					j, err := journaler.Open(dir)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if _, err := NewNode(NodeConfig{Journal: j, Machine: &counter{}, Transport: &wire{}, Clock: timekeeper.Monotonic{}}); err != nil {
+						b.Fatal(err)
+					}
+					_ = j.Close()
+				}
+			})
+		}
+	}
+}
+
+func fillJournal(b *testing.B, dir string, entries uint64, snapshot bool) {
+	const perBatch, bytes = 100, 300
+	j, err := journaler.Open(dir)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := uint64(1); i <= entries; i += perBatch {
+		batch := journaler.Batch{State: journaler.HardState{Term: 1}}
+		for k := i; k < i+perBatch; k++ {
+			batch.Entries = append(batch.Entries, journaler.Entry{Index: k, Term: 1, Data: make([]byte, bytes)})
+		}
+		if err := j.Append(batch); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if snapshot {
+		if err := j.SaveSnapshot(journaler.Snapshot{Index: entries, Term: 1, Data: make([]byte, 8)}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := j.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,112 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lagoonmill/lagoonmill/internal/registrar"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+func agents(n int) []registrar.Agent {
+	var list []registrar.Agent
+	for i := range n {
+		list = append(list, registrar.Agent{
+			ID: fmt.Sprint("w", i), Incarnation: "1", Address: fmt.Sprint("10.0.0.", i), Zone: fmt.Sprint("z", i%3),
+			Runner: &registrar.Runner{Service: "app", Slots: 8},
+		})
+	}
+	return list
+}
+
+func newRouter(n int) (*Router, *timekeeper.Manual) {
+	clock := &timekeeper.Manual{}
+	clock.Advance(10_000)
+	r := New("z0", clock)
+	r.Update(agents(n))
+	return r, clock
+}
+
+// TestLeavingServersAreNotPicked checks that a new snapshot takes effect with the next choice and keeps what was learnt.
+func TestLeavingServersAreNotPicked(t *testing.T) {
+	r, _ := newRouter(3)
+	kept := r.Pick("app", nil)
+	kept.Load.Begin()
+	list := agents(3)
+	for i := range list {
+		if list[i].ID != kept.Agent {
+			list[i].Runner.Leaving = true
+		}
+	}
+	r.Update(list)
+	for range 50 {
+		b := r.Pick("app", nil)
+		if b.Agent != kept.Agent || b.Load.InFlight() != 1 {
+			t.Fatalf("picked %s with %d in flight, want %s with 1", b.Agent, b.Load.InFlight(), kept.Agent)
+		}
+	}
+	if r.Pick("other", nil) != nil || r.Pick("app", []*Backend{kept}) != nil {
+		t.Error("picked a server of another service, or one to avoid")
+	}
+}
+
+// TestBusyServersAreAvoided checks that a full server is picked only where no other is left.
+func TestBusyServersAreAvoided(t *testing.T) {
+	r, clock := newRouter(2)
+	full := r.Pick("app", nil)
+	full.Load.Told(clock.Now(), 8)
+	for range 50 {
+		if r.Pick("app", nil) == full {
+			t.Fatal("picked a full server beside a free one")
+		}
+	}
+	clock.Advance(reportFades)
+	seen := false
+	for range 100 {
+		seen = seen || r.Pick("app", nil) == full
+	}
+	if !seen {
+		t.Error("an old report keeps a server from being picked")
+	}
+}
+
+// TestBreakerLetsOneTrialThrough checks that a failing server gets one request at a time until one succeeds.
+func TestBreakerLetsOneTrialThrough(t *testing.T) {
+	r, clock := newRouter(1)
+	b := r.Pick("app", nil)
+	opened := 0
+	for range breakAfter + 2 {
+		if b.Load.Failed(clock.Now()) {
+			opened++
+		}
+	}
+	if opened != 1 || r.Pick("app", nil) != nil {
+		t.Fatalf("breaker opened %d times, want once, and then nothing picked", opened)
+	}
+	clock.Advance(breakFor)
+	if r.Pick("app", nil) == nil || r.Pick("app", nil) != nil {
+		t.Error("want one trial after the pause, and no more")
+	}
+	if !b.Load.Succeeded() || r.Pick("app", nil) == nil {
+		t.Error("a success does not close the breaker")
+	}
+}
+
+// BenchmarkPick measures a choice by the number of backend servers, with others in flight.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{11, 100, 1100} {
+		b.Run(fmt.Sprint("servers=", n), func(b *testing.B) {
+			r := New("z0", timekeeper.Monotonic{})
+			r.Update(agents(n))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					s := r.Pick("app", nil)
+					s.Load.Begin()
+					s.Load.End(time.Millisecond)
+				}
+			})
+		})
+	}
+}
