Wait for both requests in the slot test, and lint the proofs too

Ruled out: the gate (the count was taken at the backend server, after the gate; the refused number was right each time).

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,9 @@
 check:
 	@test -z "$$(gofmt -l cmd internal)" || { echo "not formatted:"; gofmt -l cmd internal; exit 1; }
 	$(GO) vet ./...
+	$(GO) vet -tags proof ./internal/prover
 	$(GO) tool staticcheck ./...
+	$(GO) tool staticcheck -tags proof ./internal/prover
 
 docs: ## writes the pages of docs/ that are made from the code
 	$(GO) test ./internal/commander -run TestPagesMatchTheCode -update
--- a/internal/agent/gate_test.go
+++ b/internal/agent/gate_test.go
@@ -49,11 +49,13 @@
 	var mu sync.Mutex
 	now, most := 0, 0
 	release := make(chan struct{})
+	entered := make(chan struct{}, 10)
 	_, _, address := newGate(t, 2, func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		now++
 		most = max(most, now)
 		mu.Unlock()
+		entered <- struct{}{}
 		<-release
 		mu.Lock()
 		now--
@@ -74,6 +76,8 @@
 			refused++
 		}
 	}
+	<-entered
+	<-entered
 	close(release)
 	<-results
 	<-results
--- a/internal/prover/cluster_test.go
+++ b/internal/prover/cluster_test.go
@@ -185,11 +185,6 @@
 
 func (c *cluster) restart(name string) { c.launch(c.process(name)) }
 
-// freeze stops a process as it is; thaw lets it go on.
-func (c *cluster) freeze(name string) { _ = c.process(name).cmd.Process.Signal(syscall.SIGSTOP) }
-
-func (c *cluster) thaw(name string) { _ = c.process(name).cmd.Process.Signal(syscall.SIGCONT) }
-
 // stop makes a planned stop and fails the test unless it ends well.
 func (c *cluster) stop(name string) {
 	p := c.process(name)
@@ -302,14 +297,6 @@
 	return json.Unmarshal([]byte(r.body), out)
 }
 
-func (c *cluster) agents(entry int) int {
-	var list []json.RawMessage
-	if c.get(entry, "/v1/agents", &list) != nil {
-		return 0
-	}
-	return len(list)
-}
-
 // runners counts the backend servers that an entry knows.
 func (c *cluster) runners(entry int) int {
 	var list []struct {
@@ -352,24 +339,6 @@
 	return -1
 }
 
-// voters counts the voting replicas as the leader has them.
-func (c *cluster) voters() int {
-	for i := range c.entries {
-		var s clusterStatus
-		if c.get(i, "/v1/cluster", &s) != nil {
-			continue
-		}
-		n := 0
-		for _, m := range s.Members {
-			if m.Voter {
-				n++
-			}
-		}
-		return n
-	}
-	return 0
-}
-
 // runsByID counts the runs that the backend servers noted, by the caller's key.
 func (c *cluster) runsByID(runners int) map[string]int {
 	runs := map[string]int{}
