--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -266,17 +266,10 @@
 	}
 	w.Header().Set(runner.HeaderRequest, attempt)
 	if a.Rest == nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 		w.Header().Set(runner.HeaderDigest, runner.DigestOf(a.Body))
-		w.WriteHeader(a.Status)
-		_, _ = w.Write(a.Body)
-		return
 	}
-	defer func() { _ = a.Rest.Close() }()
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
-	if _, err := io.Copy(w, a.Rest); err != nil {
-		panic(http.ErrAbortHandler) // the connection is cut, so that no part passes for the whole
+	if a.Send(w) != nil {
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -361,18 +361,9 @@
 		w.Header().Del(name)
 	}
 	w.Header().Set(HeaderOutcome, OutcomeFinished)
-	if a.Rest == nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
-		w.WriteHeader(a.Status)
-		_, _ = w.Write(a.Body)
-		return
-	}
-	defer func() { _ = a.Rest.Close() }()
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body)
-	if _, err := io.Copy(w, a.Rest); err != nil {
+	if err := a.Send(w); err != nil {
 		h.Log.Log(logger.AnswerMismatched, logger.F("error", err))
-		panic(http.ErrAbortHandler) // the connection is cut, so that no part passes for the whole
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/distributor/rounds.go
+++ b/internal/distributor/rounds.go
@@ -168,6 +168,9 @@
 		if slices.Contains(suspects, a.attachment.agent.ID) {
 			continue
 		}
+		if a.attachment.agent.Worker == nil && r.serial%2 == 0 {
+			continue // it holds no members; a grant now and then tells it that the entry lives
+		}
 		g := &liaison.Grant{Serial: a.serial, Lease: controller.AgentLease}
 		if len(denied) > 0 {
 			for _, j := range state.Scheduler.JobsOn(a.attachment.agent.ID) {
--- a/internal/placer/cells.go
+++ b/internal/placer/cells.go
@@ -31,6 +31,9 @@
 // Load returns the load of a worker.
 func (c Cells) Load(worker string) (Load, bool) { return c.loads.Get(worker) }
 
+// Same reports whether other is the very same value, at no cost; equal trees made apart are not.
+func (c Cells) Same(other Cells) bool { return c.loads == other.loads }
+
 // Len returns the number of workers.
 func (c Cells) Len() int { return c.loads.Len() }
 
--- a/internal/replayer/replay.go
+++ b/internal/replayer/replay.go
@@ -419,6 +419,7 @@
 			s.ByWorkspace[share.Workspace.Name] = n
 		}
 	}
+	r.state.WaitingJobs(func(j *scheduler.Job) { s.ByWorkspace[j.Spec.Workspace] -= j.Spec.Demand.Total() })
 	cells := r.state.Cells()
 	s.Usable = cells.Total(placer.ByDeclared)
 	s.Fragmentation = cells.Fragmentation(r.wanted())
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -94,17 +94,6 @@
 	err         error
 }
 
-// view is the part of a node that other goroutines read; it is immutable.
-type view struct {
-	status     Status
-	applied    uint64
-	base       journaler.Snapshot // state before entries
-	entries    []journaler.Entry  // committed and applied, contiguous, after some index at or below base.Index
-	first      uint64             // index of entries[0]
-	changed    chan struct{}      // closed when the next view is published
-	promotable []Member
-}
-
 // NodeConfig holds what a node is made of; a zero SnapshotEvery takes the default.
 type NodeConfig struct {
 	Journal       *journaler.Journal
@@ -163,16 +152,10 @@
 // ID returns the replica's identity.
 func (n *Node) ID() ReplicaID { return ReplicaID(n.journal.Identity()) }
 
-// Status returns the replica's state at the end of its last round of work.
-func (n *Node) Status() Status { return n.view.Load().status }
-
 // TickedAt returns the time, by the node's clock, at which it last looked at its timers. A node that lags here may
 // believe in a leadership that it has lost.
 func (n *Node) TickedAt() timekeeper.Millis { return timekeeper.Millis(n.ticked.Load()) }
 
-// Promotable returns learners that have caught up, while this replica leads.
-func (n *Node) Promotable() []Member { return n.view.Load().promotable }
-
 // Done is closed when Run has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
@@ -248,24 +231,6 @@
 	return false
 }
 
-// Committed returns committed entries after index, or a snapshot to start from where they are no longer held.
-// With nothing new it returns a channel that is closed when there may be.
-func (n *Node) Committed(index uint64) ([]journaler.Entry, *journaler.Snapshot, <-chan struct{}) {
-	v := n.view.Load()
-	if index >= v.applied {
-		return nil, nil, v.changed
-	}
-	if index+1 < v.first {
-		return nil, &v.base, nil
-	}
-	from := index + 1 - v.first
-	to := min(uint64(len(v.entries)), from+maxFollowedEntries)
-	return v.entries[from:to], nil, nil
-}
-
-// Changed returns a channel that is closed after the node's next round of work.
-func (n *Node) Changed() <-chan struct{} { return n.view.Load().changed }
-
 // Run drives the replica until ctx ends or its disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -503,30 +468,3 @@
 	}
 	return nil
 }
-
-func (n *Node) publishIfChanged() {
-	old := n.view.Load()
-	status := n.core.Status()
-	same := old.status.Term == status.Term && old.status.Role == status.Role && old.status.Leader == status.Leader &&
-		old.status.Last == status.Last && old.applied == n.applied && old.base.Index == n.journal.Snapshot().Index &&
-		len(old.promotable) == len(n.core.Promotable())
-	if same {
-		return
-	}
-	n.publish(make(chan struct{}))
-	close(old.changed)
-}
-
-func (n *Node) publish(changed chan struct{}) {
-	log := &n.core.log
-	entries := log.slice(log.prefixIndex, n.applied, len(log.entries))
-	n.view.Store(&view{
-		status:     n.core.Status(),
-		applied:    n.applied,
-		base:       n.journal.Snapshot(),
-		entries:    entries,
-		first:      log.prefixIndex + 1,
-		changed:    changed,
-		promotable: n.core.Promotable(),
-	})
-}
--- a/internal/reporter/plot.go
+++ b/internal/reporter/plot.go
@@ -35,18 +35,10 @@
 // WritePlot writes an SVG: accelerators by workspace over time, with the waits of gangs and the reclaims marked, and
 // below it the fragmentation.
 func WritePlot(r *replayer.Result, path string) error {
-	use, err := usePlot(r)
-	if err != nil {
-		return err
-	}
-	curve, err := fragmentationPlot(r)
-	if err != nil {
+	canvas := vgsvg.New(plotWidth, useHeight+curveHeight)
+	if err := drawPlot(r, draw.New(canvas)); err != nil {
 		return err
 	}
-	canvas := vgsvg.New(plotWidth, useHeight+curveHeight)
-	whole := draw.New(canvas)
-	use.Draw(draw.Crop(whole, 0, 0, curveHeight, 0))
-	curve.Draw(draw.Crop(whole, 0, 0, 0, -useHeight))
 	file, err := os.Create(path)
 	if err != nil {
 		return fmt.Errorf("create plot: %w", err)
@@ -58,6 +50,39 @@
 	return file.Close()
 }
 
+func drawPlot(r *replayer.Result, whole draw.Canvas) error {
+	thinned := *r
+	thinned.Samples = thin(r.Samples, lastEnd(r))
+	use, err := usePlot(&thinned)
+	if err != nil {
+		return err
+	}
+	curve, err := fragmentationPlot(&thinned)
+	if err != nil {
+		return err
+	}
+	use.Draw(draw.Crop(whole, 0, 0, curveHeight, 0))
+	curve.Draw(draw.Crop(whole, 0, 0, 0, -useHeight))
+	return nil
+}
+
+// thin keeps one sample for each step of the time axis that can be told apart.
+func thin(samples []replayer.Sample, end timekeeper.Millis) []replayer.Sample {
+	const steps = 1200
+	var kept []replayer.Sample
+	last := timekeeper.Millis(-1)
+	for _, s := range samples {
+		step := s.At * steps / max(end, 1)
+		if step == last {
+			kept[len(kept)-1] = s
+			continue
+		}
+		kept = append(kept, s)
+		last = step
+	}
+	return kept
+}
+
 func hours(t timekeeper.Millis) float64 { return float64(t) / float64(timekeeper.Hour) }
 
 // lastEnd bounds the time axis: nothing happens after the last job has ended.
--- a/internal/runner/call.go
+++ b/internal/runner/call.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,24 @@
 	Rest   io.ReadCloser
 }
 
+// Send writes status and body to w. With an error the answer was cut short or damaged after its beginning had gone
+// out: the caller must break the connection, so that no part passes for the whole.
+func (a *Answer) Send(w http.ResponseWriter) error {
+	if a.Rest == nil {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(a.Status)
+		_, _ = w.Write(a.Body)
+		return nil
+	}
+	defer func() { _ = a.Rest.Close() }()
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+	if _, err := io.Copy(w, a.Rest); err != nil {
+		return fmt.Errorf("send rest of answer: %w", err)
+	}
+	return nil
+}
+
 // A NotStartedError tells that the request was certainly not handed over.
 type NotStartedError struct {
 	Cause error
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -328,8 +328,26 @@
 	return false
 }
 
-// withoutPromise returns the cells as they would be without the reservation of r.
+// unpromised is a cached answer of withoutPromise.
+type unpromised struct {
+	base, cells placer.Cells
+}
+
+// withoutPromise returns the cells as they would be without the reservation of r. A pass asks for it again and again
+// while nothing is placed, so that the answer is kept until the cells change.
 func (t *step) withoutPromise(r *Job) placer.Cells {
+	if known, ok := t.cached[r.Spec.ID]; ok && known.base.Same(t.cells) {
+		return known.cells
+	}
+	if t.cached == nil {
+		t.cached = map[string]unpromised{}
+	}
+	cells := t.removePromise(r)
+	t.cached[r.Spec.ID] = unpromised{t.cells, cells}
+	return cells
+}
+
+func (t *step) removePromise(r *Job) placer.Cells {
 	var loads []placer.Load
 	for _, part := range r.Placement {
 		load, _ := t.cells.Load(part.Worker)
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -246,3 +246,12 @@
 	}
 	return found
 }
+
+// WaitingJobs calls visit with every job that has a place and waits for its accelerators.
+func (s State) WaitingJobs(visit func(*Job)) {
+	for it := s.waiting.Iterator(); !it.Done(); {
+		id, _, _ := it.Next()
+		j, _ := s.jobs.Get(id)
+		visit(j)
+	}
+}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -18,7 +18,8 @@
 	freed   map[string]struct{} // workers on which accelerators came free
 	idled   bool                // a slot lost its last job
 	retry   bool                // queued jobs may fit now
-	fresh   []string            // jobs that joined the queue in this step
+	cached  map[string]unpromised
+	fresh   []string // jobs that joined the queue in this step
 }
 
 // Step returns the state after event at time at, which never goes back: an earlier time counts as the last one.
