--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -67,6 +67,7 @@
 	orders   []liaison.Order
 	held     map[string]*member // by job
 	changed  bool               // a status changed since the last call of statuses
+	armed    []string           // tasks armed since the last call of takeArmed
 }
 
 func newMembers(w placer.Worker) *members {
@@ -130,6 +131,8 @@
 		return // without a lease nothing is armed; the next grant brings it up again
 	case !s.fits(o):
 		m.state, m.reason = stateRefused, "the accelerators are still in use"
+	default:
+		s.armed = append(s.armed, m.task())
 	}
 	s.held[o.Job] = m
 	s.changed = true
@@ -239,6 +242,12 @@
 	}
 }
 
+func (s *members) takeArmed() []string {
+	armed := s.armed
+	s.armed = nil
+	return armed
+}
+
 func (s *members) runningTasks() []string {
 	var tasks []string
 	for _, m := range s.held {
--- a/internal/agent/supervisor.go
+++ b/internal/agent/supervisor.go
@@ -189,6 +189,9 @@
 }
 
 func (s *supervisor) do(ctx context.Context, actions []action) {
+	for _, task := range s.members.takeArmed() {
+		s.log.Log(logger.MembersArmed, logger.F("task", task))
+	}
 	for _, a := range actions {
 		switch a.kind {
 		case actionRun:
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// TestEveryEventIsLogged looks for each event of the catalogue in the code, so that the page names none that never come.
+func TestEveryEventIsLogged(t *testing.T) {
+	catalogue, err := os.ReadFile("../logger/catalogue.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var code strings.Builder
+	for _, pattern := range []string{"../*/*.go"} {
+		paths, _ := filepath.Glob(pattern)
+		for _, path := range paths {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			code.Write(data)
+		}
+	}
+	for _, line := range strings.Split(string(catalogue), "\n") {
+		name, _, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if ok && strings.Contains(line, "= declare(") && !strings.Contains(code.String(), "logger."+name) {
+			t.Errorf("%s is declared and never logged", name)
+		}
+	}
+}
+
 // TestEveryCommandHasAnExample checks the help texts.
 func TestEveryCommandHasAnExample(t *testing.T) {
 	var check func(name string, c *cli.Command)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -295,7 +296,7 @@
 		}
 		return true
 	})
-	slices.SortFunc(jobs, func(x, y Job) int { return int(y.Submitted - x.Submitted) })
+	slices.SortFunc(jobs, func(x, y Job) int { return cmp.Compare(y.Submitted, x.Submitted) })
 	if len(jobs) > maxListed {
 		jobs = jobs[:maxListed]
 	}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/journaler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
@@ -235,7 +236,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
 	defer n.failAll(ErrStopped)
-	ticker := newTicker(tickInterval)
+	ticker := time.NewTicker(tickInterval.Duration())
 	defer ticker.Stop()
 	for {
 		if err := n.work(); err != nil {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/lagoonmill/lagoonmill/internal/placer"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 // backfillDepth bounds the jobs of one workspace and class that a pass looks at behind one that does not fit.
@@ -239,10 +240,10 @@
 
 // place gives a queued job a placement: it arms at once where all is free and promised to nobody, else it waits. It
 // becomes ripe when others may be stopped for it; zero means that they were.
-func (t *step) place(j *Job, p placer.Placement, slot SlotKey, ripe int64) {
+func (t *step) place(j *Job, p placer.Placement, slot SlotKey, ripe timekeeper.Millis) {
 	next := *j
 	next.Phase, next.Placement, next.Slot = PhaseWaiting, p, slot
-	next.RipeAt = millis(ripe)
+	next.RipeAt = ripe
 	if t.freeNow(j.Spec.Demand, p) {
 		t.arm(j, &next)
 		return
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -8,8 +8,6 @@
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
-func millis(n int64) timekeeper.Millis { return timekeeper.Millis(n) }
-
 // claim is a way to run a job under a guarantee.
 type claim struct {
 	slot      SlotKey
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	ripe := max(j.Enqueued+t.policy.WaitBound, t.now+1)
-	t.place(j, best.placement, SlotKey{}, int64(ripe))
+	t.place(j, best.placement, SlotKey{}, ripe)
 	if next := t.mustJob(j.Spec.ID); next.Phase == PhaseWaiting {
 		t.setTimer(ripe, timerRipe, next.Spec.ID, next.Attempt)
 	}
@@ -160,7 +160,7 @@
 	if !ok {
 		return false
 	}
-	t.place(j, best.placement, SlotKey{}, int64(t.now))
+	t.place(j, best.placement, SlotKey{}, t.now)
 	if next := t.mustJob(j.Spec.ID); next.Phase == PhaseWaiting {
 		t.press(next)
 	}
