Check leases seldom while an agent holds nothing

Change: with nothing held the next look is in 2 s; orders and grants set it anew. The stand-ins announce themselves every second.

--- a/internal/agent/supervisor.go
+++ b/internal/agent/supervisor.go
@@ -16,6 +16,7 @@
 
 const (
 	leaseCheck   = 100 * time.Millisecond
+	idleCheck    = 2 * time.Second
 	platformCall = 2 * time.Second
 	taskWait     = 2 * timekeeper.Second
 	taskPause    = 200 * time.Millisecond
@@ -84,26 +85,37 @@
 	defer close(s.ended)
 	watched := make(chan error, 1)
 	go func() { watched <- s.watch(ctx) }()
-	ticker := time.NewTicker(leaseCheck)
-	defer ticker.Stop()
+	check := time.NewTimer(idleCheck)
+	defer check.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return <-watched
 		case o := <-s.orders:
 			s.do(ctx, s.members.obey(s.clock.Now(), o))
+			check.Reset(leaseCheck)
 		case g := <-s.grants:
 			s.takeGrant(ctx, g)
+			check.Reset(s.pauseBetweenChecks())
 		case n := <-s.news:
 			s.takeNews(n)
 		case q := <-s.asks:
 			s.reply(q)
-		case <-ticker.C:
+		case <-check.C:
 			s.fence(ctx)
+			check.Reset(s.pauseBetweenChecks())
 		}
 	}
 }
 
+// pauseBetweenChecks is long while nothing is held whose lease could end.
+func (s *supervisor) pauseBetweenChecks() time.Duration {
+	if len(s.members.held) == 0 {
+		return idleCheck
+	}
+	return leaseCheck
+}
+
 // ask is a question for the statuses of members; without all it is answered by nil when none has changed since the
 // last such question.
 type ask struct {
--- a/internal/imitator/announce.go
+++ b/internal/imitator/announce.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	announceInterval = 500 * time.Millisecond
+	announceInterval = time.Second
 	announceTimeout  = time.Second
 )
 
