--- a/cmd/lagoonmilld/main.go
+++ b/cmd/lagoonmilld/main.go
@@ -5,8 +5,14 @@
 	"os"
 
 	"github.com/lagoonmill/lagoonmill/internal/commander"
+	"github.com/lagoonmill/lagoonmill/platform"
 )
 
 func main() {
-	os.Exit(commander.Daemon(os.Args))
+	os.Exit(commander.Daemon(os.Args, commander.RoleRunner{
+		Name:  "platform",
+		Usage: "runs a role on the users' platform, which tells it its settings: entry, control or agent",
+		Check: platform.CheckRole,
+		Run:   platform.Run,
+	}))
 }
--- /dev/null
+++ b/internal/coordinator/admission.go
@@ -0,0 +1,30 @@
+package coordinator
+
+import (
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// retryAfterStart is when a job is asked for again that no worker can hold yet: the time of some announcements.
+const retryAfterStart timekeeper.Millis = 2000
+
+// admit returns why a job cannot be accepted, or nil.
+func admit(s tracker.State, q modeler.Queue, j modeler.Job) *CallResponse {
+	for i := range j.Steps {
+		if !holdable(s, q, j.Steps[i]) {
+			return &CallResponse{Outcome: OutcomeRefused, Reason: "no worker can hold a task of the job", RetryAfter: retryAfterStart}
+		}
+	}
+	return nil
+}
+
+// holdable reports whether any known worker could hold a task of the step if nothing else ran.
+func holdable(s tracker.State, q modeler.Queue, step modeler.Step) bool {
+	for _, w := range s.Workers() {
+		if w.Profile.Service == q.Service && step.Need.Fits(w.Profile.Capacity) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordinator/agents.go
@@ -0,0 +1,172 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// HoldTime is how long a watch is held at most while nothing changes: a fraction of a lease, so that leases are
+// renewed several times over.
+const HoldTime timekeeper.Millis = 1000
+
+func (c *Coordinator) attach(ctx context.Context, r *AttachRequest) (*AttachResponse, error) {
+	if c.confirm(ctx) != nil {
+		return &AttachResponse{Reply: c.notLeader()}, nil
+	}
+	a := r.Attach
+	answer, err := c.propose(ctx, tracker.Command{Attach: &a})
+	if err != nil {
+		return &AttachResponse{Reply: c.notLeader()}, nil
+	}
+	now := c.clock.Now()
+	c.leases.grant(a.Worker, now) // nothing may be thought lost before the agent had time to watch
+	c.log.Log(logger.WorkerAttached, logger.F("worker", a.Worker), logger.F("runner", a.Life.ID), logger.F("born", int(a.Life.Born)),
+		logger.F("epoch", answer.Epoch), logger.F("accepted", answer.Code == tracker.Accepted), logger.F("zone", a.Profile.Zone),
+		logger.F("rack", a.Profile.Rack()), logger.F("accelerators", a.Profile.Capacity.Accelerators), logger.F("index", answer.Index))
+	return &AttachResponse{Reply: c.reply(), Accepted: answer.Code == tracker.Accepted, Epoch: answer.Epoch}, nil
+}
+
+// watch holds the call until the worker's runs differ from what the agent has seen.
+func (c *Coordinator) watch(ctx context.Context, r *WatchRequest) (*WatchResponse, error) {
+	if c.confirm(ctx) != nil {
+		return &WatchResponse{Reply: c.notLeader()}, nil
+	}
+	now := c.clock.Now()
+	c.leases.hear(r.Worker, now)
+	c.observer.see(now, r.Running)
+	if r.Draining {
+		c.noteDraining(ctx, r, now)
+	}
+	if r.Mute {
+		c.waitForChange(ctx, r)
+		return &WatchResponse{Reply: c.reply(), Version: r.Seen}, nil
+	}
+	c.waitForChange(ctx, r)
+	if c.confirm(ctx) != nil {
+		return &WatchResponse{Reply: c.notLeader()}, nil
+	}
+	return c.orders(r), nil
+}
+
+func (c *Coordinator) noteDraining(ctx context.Context, r *WatchRequest, now timekeeper.Millis) {
+	c.observer.leave(r.Worker, now+max(r.Leaving, c.settings.DrainTime))
+	w, ok := c.machine.State().Worker(r.Worker)
+	if !ok || w.Draining || w.Epoch != r.Epoch {
+		return
+	}
+	_, err := c.propose(ctx, tracker.Command{Drain: &tracker.Drain{Worker: r.Worker, Epoch: r.Epoch}})
+	if err != nil {
+		c.log.Log(logger.ProposalFailed, logger.F("worker", r.Worker), logger.F("error", err)) // the next watch tries again
+		return
+	}
+	c.log.Log(logger.WorkerDraining, logger.F("worker", r.Worker), logger.F("epoch", r.Epoch), logger.F("left", r.Leaving))
+}
+
+func (c *Coordinator) waitForChange(ctx context.Context, r *WatchRequest) {
+	ctx, cancel := context.WithTimeout(ctx, HoldTime.Duration())
+	defer cancel()
+	for {
+		changed := c.node.Changed()
+		w, ok := c.machine.State().Worker(r.Worker)
+		if !ok || w.Gone || w.Epoch != r.Epoch || w.Changed != r.Seen {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Coordinator) orders(r *WatchRequest) *WatchResponse {
+	state := c.machine.State()
+	w, ok := state.Worker(r.Worker)
+	if !ok || w.Gone || w.Epoch != r.Epoch {
+		return &WatchResponse{Reply: c.reply(), Lost: true}
+	}
+	response := &WatchResponse{Reply: c.reply(), Version: w.Changed, Recorded: w.Recorded}
+	response.Lease = c.leases.grant(r.Worker, c.clock.Now())
+	if w.Changed == r.Seen {
+		return response
+	}
+	for _, run := range w.Runs {
+		order := Order{Run: run.Key, Stop: run.Stopping, Epoch: run.Epoch}
+		if j, ok := state.Job(run.Key.Task.Job); ok && !run.Stopping {
+			t, _ := j.Task(run.Key.Task)
+			order.Payload, order.Checkpoint = j.Payload, t.Checkpoint
+		}
+		response.Orders = append(response.Orders, order)
+	}
+	return response
+}
+
+func (c *Coordinator) report(ctx context.Context, r *ReportRequest) (*ReportResponse, error) {
+	if c.confirm(ctx) != nil {
+		return &ReportResponse{Reply: c.notLeader()}, nil
+	}
+	r.Report.At = c.wall.Now()
+	c.observer.fillCheckpoints(r.Report.Ends)
+	answer, err := c.propose(ctx, tracker.Command{Report: &r.Report})
+	if err != nil {
+		return &ReportResponse{Reply: c.notLeader()}, nil
+	}
+	if answer.Code != tracker.Accepted {
+		return &ReportResponse{Reply: c.reply(), Lost: true}, nil
+	}
+	for _, end := range r.Report.Ends {
+		c.noteEnd(r.Report.Worker, end, answer.Index)
+	}
+	return &ReportResponse{Reply: c.reply()}, nil
+}
+
+func (c *Coordinator) noteEnd(worker string, end tracker.End, index uint64) {
+	c.log.Log(logger.RunEnded, logger.F("job", string(end.Run.Task.Job)), logger.F("run", end.Run.String()),
+		logger.F("worker", worker), logger.F("end", end.Kind.String()), logger.F("number", end.Number), logger.F("index", index))
+	c.meter.Count("runs_ended", "", worker, end.Kind.String())
+	switch end.Kind {
+	case tracker.EndDone:
+		c.observer.judge(worker, true, c.clock.Now())
+	case tracker.EndFailed, tracker.EndUnbegun:
+		c.judgeBad(worker, end.Kind.String()+" run")
+	}
+}
+
+func (c *Coordinator) judgeBad(worker, reason string) {
+	if c.observer.judge(worker, false, c.clock.Now()) {
+		c.log.Log(logger.WorkerAvoided, logger.F("worker", worker), logger.F("reason", reason), logger.F("for", avoidTime))
+	}
+}
+
+func (c *Coordinator) leave(ctx context.Context, r *LeaveRequest) (*LeaveResponse, error) {
+	err := c.confirm(ctx)
+	if err == nil {
+		err = c.detach(ctx, r.Worker, r.Epoch, "its runner has left")
+	}
+	if err != nil && !errors.Is(err, errStale) {
+		return &LeaveResponse{c.notLeader()}, nil
+	}
+	return &LeaveResponse{c.reply()}, nil
+}
+
+var errStale = errors.New("the worker has been attached anew or is gone")
+
+// detach gives the runs of a worker up, which nothing runs any more.
+func (c *Coordinator) detach(ctx context.Context, worker string, epoch uint64, reason string) error {
+	w, ok := c.machine.State().Worker(worker)
+	if !ok || w.Epoch != epoch || w.Gone {
+		return errStale
+	}
+	command := tracker.Command{Detach: &tracker.Detach{Worker: worker, Epoch: epoch, Saved: c.observer.saved(w)}}
+	answer, err := c.propose(ctx, command)
+	if err != nil {
+		return err
+	}
+	c.log.Log(logger.WorkerDetached, logger.F("worker", worker), logger.F("epoch", epoch), logger.F("runs", len(w.Runs)),
+		logger.F("reason", reason), logger.F("index", answer.Index))
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/confirmer.go
@@ -0,0 +1,64 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+)
+
+// confirmer shares the confirmation of a quorum among the calls that wait for one: a call joins the next round, never
+// one that had begun before it.
+type confirmer struct {
+	read func(context.Context) (uint64, error)
+
+	mu      sync.Mutex
+	running bool
+	next    *round
+}
+
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+func (c *confirmer) confirm(ctx context.Context) error {
+	r := c.joinNext()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *confirmer) joinNext() *round {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == nil {
+		c.next = &round{done: make(chan struct{})}
+	}
+	r := c.next
+	if !c.running {
+		c.running = true
+		c.begin()
+	}
+	return r
+}
+
+// begin runs the next round; the caller holds mu. The goroutine ends when no call waits any more.
+func (c *confirmer) begin() {
+	r := c.next
+	c.next = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout.Duration())
+		defer cancel()
+		_, r.err = c.read(ctx)
+		close(r.done)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.next == nil {
+			c.running = false
+			return
+		}
+		c.begin()
+	}()
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,128 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/locator"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/meter"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// Settings are what a deployment fixes for the control role.
+type Settings struct {
+	Address   string            // where other processes reach this replica
+	Lease     timekeeper.Millis // what agents are granted; bounded by what runners accept
+	Voters    int               // wanted number of voters
+	DrainTime timekeeper.Millis // what a draining worker surely has left when it says nothing
+}
+
+// Coordinator serves one control replica.
+type Coordinator struct {
+	settings Settings
+	node     *replicator.Node
+	machine  *tracker.Machine
+	log      logger.Logger
+	meter    meter.Meter
+	clock    timekeeper.Monotonic
+	wall     timekeeper.Wall
+
+	confirmer confirmer
+	observer  *observer
+	leases    *leases
+}
+
+// New returns the coordinator of a node whose state machine is machine.
+func New(settings Settings, node *replicator.Node, machine *tracker.Machine, log logger.Logger, m meter.Meter) *Coordinator {
+	return &Coordinator{
+		settings: settings, node: node, machine: machine, log: log, meter: m,
+		confirmer: confirmer{read: node.Read},
+		observer:  newObserver(),
+		leases:    newLeases(settings.Lease),
+	}
+}
+
+// Register adds the coordinator's service to a gRPC server that uses encoder.Codec.
+func (c *Coordinator) Register(server *grpc.Server) {
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{
+			encoder.Unary("Submit", c.submit),
+			encoder.Unary("Call", c.call),
+			encoder.Unary("Configure", c.configure),
+			encoder.Unary("Read", c.read),
+			encoder.Unary("Attach", c.attach),
+			encoder.Unary("Watch", c.watch),
+			encoder.Unary("Report", c.report),
+			encoder.Unary("Leave", c.leave),
+			encoder.Unary("Hello", c.hello),
+			encoder.Unary("Join", c.join),
+		},
+	}, c)
+}
+
+// standing tells who leads and who the members are.
+func (c *Coordinator) standing() locator.Standing {
+	status := c.node.Status()
+	s := locator.Standing{NotLeader: status.Role != replicator.Leader}
+	if s.NotLeader {
+		if leader, ok := status.Members.Member(status.Leader); ok {
+			s.Leader = leader.Address
+		}
+		for _, o := range status.Members.Members {
+			s.Members = append(s.Members, o.Address)
+		}
+	}
+	return s
+}
+
+func (c *Coordinator) reply() Reply { return Reply{c.standing()} }
+
+// notLeader is what a replica answers that does not lead, or no longer.
+func (c *Coordinator) notLeader() Reply {
+	s := c.standing()
+	if !s.NotLeader {
+		s = locator.Standing{NotLeader: true}
+	}
+	return Reply{s}
+}
+
+// confirm returns once this replica is known to lead and to hold everything that was committed before the call.
+func (c *Coordinator) confirm(ctx context.Context) error {
+	if c.node.Status().Role != replicator.Leader {
+		return replicator.ErrNotLeader
+	}
+	return c.confirmer.confirm(ctx)
+}
+
+// propose puts a command on the log and returns its answer once it is committed.
+func (c *Coordinator) propose(ctx context.Context, command tracker.Command) (tracker.Answer, error) {
+	data, err := encoder.Marshal(command)
+	if err != nil {
+		return tracker.Answer{}, fmt.Errorf("encode command: %w", err)
+	}
+	value, err := c.node.Propose(ctx, data)
+	if err != nil {
+		return tracker.Answer{}, fmt.Errorf("propose: %w", err)
+	}
+	answer, ok := value.(tracker.Answer)
+	if !ok {
+		return tracker.Answer{}, errors.New("the entry holds no command")
+	}
+	return answer, nil
+}
+
+func (c *Coordinator) hello(context.Context, *HelloRequest) (*HelloResponse, error) {
+	return &HelloResponse{c.reply()}, nil
+}
+
+// HandOver gives the leadership to another voter, before a planned stop.
+func (c *Coordinator) HandOver(ctx context.Context) { c.node.Transfer(ctx) }
--- /dev/null
+++ b/internal/coordinator/leader.go
@@ -0,0 +1,136 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/planner"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+const (
+	// planInterval is the longest pause between two looks at the work while this replica leads.
+	planInterval = 250 * time.Millisecond
+	// proposeTimeout bounds the wait for a decision of the leader's own.
+	proposeTimeout = 2 * time.Second
+	// silentTime is how long an agent may be silent before nothing new is placed on its worker: two watches.
+	silentTime = 2*HoldTime + 300
+	// keepEnded is how long ended jobs are kept for those who ask; the platform's pages ask for two minutes.
+	keepEnded = 10 * timekeeper.Minute
+)
+
+// Lead plans and mends while this replica leads, until ctx ends.
+func (c *Coordinator) Lead(ctx context.Context) error {
+	var term uint64
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		changed := c.node.Changed()
+		term = c.watchTerm(term)
+		if term != 0 {
+			c.step(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// watchTerm notes a change of leadership and returns the term that this replica leads, or zero.
+func (c *Coordinator) watchTerm(leading uint64) uint64 {
+	status := c.node.Status()
+	if status.Role != replicator.Leader {
+		if leading != 0 {
+			c.log.Log(logger.LeadershipEnded, logger.F("term", leading), logger.F("now", status.Term))
+		}
+		return 0
+	}
+	if status.Term != leading {
+		c.leases.takeOver(c.clock.Now())
+		c.log.Log(logger.LeadershipTaken, logger.F("term", status.Term), logger.F("commit", status.Commit), logger.F("members", len(status.Members.Members)))
+	}
+	return status.Term
+}
+
+// step makes the decisions that are due now.
+func (c *Coordinator) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if c.confirm(ctx) != nil {
+		return
+	}
+	c.detachLost(ctx)
+	c.plan(ctx)
+}
+
+// detachLost gives up workers whose leases have ended.
+func (c *Coordinator) detachLost(ctx context.Context) {
+	for _, w := range c.machine.State().Workers() {
+		if w.Gone || !c.leases.ended(w.Name, c.clock.Now()) {
+			continue
+		}
+		if err := c.detach(ctx, w.Name, w.Epoch, "its lease has ended"); err != nil {
+			c.log.Log(logger.ProposalFailed, logger.F("worker", w.Name), logger.F("error", err))
+		}
+	}
+}
+
+func (c *Coordinator) plan(ctx context.Context) {
+	started := time.Now()
+	now := c.clock.Now()
+	state := c.machine.State()
+	in := planner.Input{State: state, Now: c.wall.Now(), Silent: c.silent(state, now)}
+	in.Progress, in.Avoid, in.Leaving = c.observer.input(state, now)
+	plan := planner.Plan(in)
+	c.meter.Observe("plan_time", "", "", time.Since(started))
+	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
+		return
+	}
+	answer, err := c.propose(ctx, tracker.Command{Assign: &plan})
+	if err != nil {
+		c.log.Log(logger.ProposalFailed, logger.F("starts", len(plan.Starts)), logger.F("stops", len(plan.Stops)), logger.F("error", err))
+		return
+	}
+	c.logPlan(in, plan, answer.Index)
+}
+
+func (c *Coordinator) silent(state tracker.State, now timekeeper.Millis) map[string]bool {
+	silent := map[string]bool{}
+	for _, w := range state.Workers() {
+		if !w.Gone && c.leases.silent(w.Name, now, silentTime) {
+			silent[w.Name] = true
+		}
+	}
+	return silent
+}
+
+func (c *Coordinator) logPlan(in planner.Input, plan tracker.Assign, index uint64) {
+	for _, s := range plan.Starts {
+		c.log.Log(logger.RunAssigned, logger.F("job", string(s.Run.Task.Job)), logger.F("run", s.Run.String()),
+			logger.F("worker", s.Worker), logger.F("epoch", s.Epoch), logger.F("resumes", s.Checkpoint != ""),
+			logger.F("state", in.State.Index), logger.F("index", index))
+	}
+	for _, key := range plan.Stops {
+		p := in.Progress[key]
+		reason := "room"
+		if p.Stalled || p.Slow {
+			reason = "no progress"
+			c.judgeRun(in.State, key)
+		}
+		c.log.Log(logger.RunStopping, logger.F("job", string(key.Task.Job)), logger.F("run", key.String()), logger.F("reason", reason),
+			logger.F("percent", p.Percent), logger.F("running", p.Running), logger.F("state", in.State.Index), logger.F("index", index))
+	}
+}
+
+func (c *Coordinator) judgeRun(s tracker.State, key tracker.RunKey) {
+	if j, ok := s.Job(key.Task.Job); ok {
+		t, _ := j.Task(key.Task)
+		c.judgeBad(t.Worker, "run without progress")
+	}
+}
--- /dev/null
+++ b/internal/coordinator/membership.go
@@ -0,0 +1,174 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/locator"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	// healInterval is the pause between two looks at the membership; several fit into the time that a repair may take.
+	healInterval = 200 * time.Millisecond
+	// joinInterval is the pause between two requests to join.
+	joinInterval = 300 * time.Millisecond
+	// voterSilence is the silence after which a learner takes a voter's place.
+	voterSilence timekeeper.Millis = 1500
+	// learnerSilence is the silence after which a learner is removed.
+	learnerSilence timekeeper.Millis = 10_000
+)
+
+// FirstMembership returns the membership of a new system: one voter at each seed, with the identity that everybody
+// can work out from its address.
+func FirstMembership(seeds []string) replicator.Membership {
+	var m replicator.Membership
+	for _, address := range seeds {
+		m = m.WithMember(replicator.Member{ID: replicator.ReplicaID(journaler.IdentityOf(address)), Address: address, Voter: true})
+	}
+	return m
+}
+
+// Heal keeps the voters in line with the replicas that live, while this replica leads.
+func (c *Coordinator) Heal(ctx context.Context) error {
+	ticker := time.NewTicker(healInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if c.node.Status().Role == replicator.Leader {
+				c.healOnce(ctx)
+			}
+		}
+	}
+}
+
+func (c *Coordinator) healOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	peers, err := c.node.Peers(ctx)
+	if err != nil {
+		return // the node ends, or the process does
+	}
+	if _, ok := heal(c.node.Status().Members, peers, c.settings.Voters); !ok {
+		return
+	}
+	err = c.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
+		next, ok := heal(m, peers, c.settings.Voters)
+		if !ok {
+			return m, errors.New("nothing to change any more")
+		}
+		return next, nil
+	})
+	if err != nil {
+		c.log.Log(logger.MembershipFailed, logger.F("error", err))
+		return
+	}
+	after := c.node.Status().Members
+	c.log.Log(logger.MemberPromoted, logger.F("members", len(after.Members)), logger.F("voters", after.Voters()))
+}
+
+// heal returns the membership after one step that brings the voters closer to the replicas that live, or false. A
+// voter goes only when a learner that has caught up takes its place: the one whose disk was replaced by the learner's,
+// else the one that has been silent for longest.
+func heal(m replicator.Membership, peers []replicator.Peer, wanted int) (replicator.Membership, bool) {
+	for _, p := range peers {
+		if current, ok := m.Member(p.Member.ID); !ok || current.Voter || !p.CaughtUp || p.Silence > voterSilence {
+			continue
+		}
+		if old, ok := replacedBy(m, p.Member); ok {
+			return m.WithoutMember(old.ID), true
+		}
+		if m.Voters() < wanted {
+			learner := p.Member
+			learner.Voter = true
+			return m.WithMember(learner), true
+		}
+		if silent, ok := longestSilent(m, peers); ok {
+			return m.WithoutMember(silent.ID), true
+		}
+	}
+	for _, p := range peers {
+		if current, ok := m.Member(p.Member.ID); ok && !current.Voter && p.Silence > learnerSilence {
+			return m.WithoutMember(current.ID), true
+		}
+	}
+	return m, false
+}
+
+// replacedBy returns the voter that had the learner's address under another identity: its disk is lost.
+func replacedBy(m replicator.Membership, learner replicator.Member) (replicator.Member, bool) {
+	for _, o := range m.Members {
+		if o.Voter && o.Address == learner.Address && o.ID != learner.ID {
+			return o, true
+		}
+	}
+	return replicator.Member{}, false
+}
+
+func longestSilent(m replicator.Membership, peers []replicator.Peer) (replicator.Member, bool) {
+	var found replicator.Peer
+	for _, p := range peers {
+		if m.IsVoter(p.Member.ID) && p.Silence > max(voterSilence, found.Silence) {
+			found = p
+		}
+	}
+	return found.Member, found.Silence > 0
+}
+
+// Enrol asks to join whenever no leader counts this replica as a member, until ctx ends.
+func (c *Coordinator) Enrol(ctx context.Context, l *locator.Locator) error {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if c.node.Status().Leader != 0 {
+			continue
+		}
+		c.askToJoin(ctx, l)
+	}
+}
+
+func (c *Coordinator) askToJoin(ctx context.Context, l *locator.Locator) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	r := &JoinRequest{ID: c.node.ID(), Address: c.settings.Address}
+	if _, err := locator.Call[JoinRequest, JoinResponse](ctx, l, MethodJoin, 0, r); err != nil {
+		c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(r.ID)), logger.F("error", err))
+		return
+	}
+	c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(r.ID)), logger.F("address", r.Address))
+}
+
+// join adds a replica as a learner; heal gives it a vote once it has caught up.
+func (c *Coordinator) join(ctx context.Context, r *JoinRequest) (*JoinResponse, error) {
+	err := c.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
+		if o, member := m.Member(r.ID); member && o.Address == r.Address {
+			return m, errMember
+		}
+		return m.WithLearner(r.ID, r.Address), nil
+	})
+	switch {
+	case err == nil:
+		c.log.Log(logger.MemberAdded, logger.F("address", r.Address), logger.F("replica", uint64(r.ID)))
+	case errors.Is(err, errMember):
+	case errors.Is(err, replicator.ErrNotLeader):
+		return &JoinResponse{c.notLeader()}, nil
+	default:
+		return nil, fmt.Errorf("add replica: %w", err)
+	}
+	return &JoinResponse{c.reply()}, nil
+}
+
+var errMember = errors.New("already a member")
--- /dev/null
+++ b/internal/coordinator/observer.go
@@ -0,0 +1,182 @@
+package coordinator
+
+import (
+	"sync"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/planner"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+const (
+	// stallTime is how long a run's percentage may stand still.
+	stallTime timekeeper.Millis = 3000
+	// stallShare adds to stallTime for long tasks, of which one percent takes longer, as a share of the estimate.
+	stallShare = 0.05
+	// slowFactor is how many times its estimate a run may take, by its pace, before it counts as slow; declared
+	// estimates are off by half and more.
+	slowFactor = 3.5
+	// slowAfter is the time that a run's pace is watched before it is judged.
+	slowAfter timekeeper.Millis = 2500
+	// avoidTime is how long a worker is left out after it was found bad.
+	avoidTime timekeeper.Millis = 6000
+	// badRuns is the number of bad runs, with no good one between, after which a worker is avoided.
+	badRuns = 2
+	// avoidShare bounds the share of workers that are avoided at once.
+	avoidShare = 0.4
+)
+
+// observed is what the leader has seen of a run.
+type observed struct {
+	since      timekeeper.Millis // first seen in the state
+	percent    int
+	moved      timekeeper.Millis // when the percentage last rose
+	first      timekeeper.Millis // when the runner first listed it
+	checkpoint string
+}
+
+type health struct {
+	bad   int
+	until timekeeper.Millis // avoided until then
+}
+
+// observer keeps what is known of running work beyond the log. It is safe for concurrent use; mu guards its maps.
+type observer struct {
+	mu      sync.Mutex
+	runs    map[tracker.RunKey]*observed
+	workers map[string]*health
+	leaving map[string]timekeeper.Millis // by worker, when it may be gone
+}
+
+func newObserver() *observer {
+	return &observer{runs: map[tracker.RunKey]*observed{}, workers: map[string]*health{}, leaving: map[string]timekeeper.Millis{}}
+}
+
+// see takes a worker's list of runs.
+func (o *observer) see(now timekeeper.Millis, reports []RunReport) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range reports {
+		run := o.run(r.Run, now)
+		if run.first == 0 {
+			run.first, run.moved = now, now
+		}
+		if r.Percent > run.percent {
+			run.percent, run.moved = r.Percent, now
+		}
+		if r.Checkpoint != "" {
+			run.checkpoint = r.Checkpoint
+		}
+	}
+}
+
+func (o *observer) run(key tracker.RunKey, now timekeeper.Millis) *observed {
+	run := o.runs[key]
+	if run == nil {
+		run = &observed{since: now}
+		o.runs[key] = run
+	}
+	return run
+}
+
+// leave notes that a worker drains and what is left to it at least.
+func (o *observer) leave(worker string, at timekeeper.Millis) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving[worker] = at
+}
+
+// judge takes how a run ended on a worker, or that it was taken back as bad; it reports whether the worker is avoided
+// from now on.
+func (o *observer) judge(worker string, good bool, now timekeeper.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h := o.workers[worker]
+	if h == nil {
+		h = &health{}
+		o.workers[worker] = h
+	}
+	if good {
+		*h = health{}
+		return false
+	}
+	h.bad++
+	if h.bad < badRuns {
+		return false
+	}
+	h.until = now + avoidTime
+	return true
+}
+
+// saved returns the last known checkpoints of a worker's runs.
+func (o *observer) saved(w tracker.Worker) []tracker.Checkpoint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []tracker.Checkpoint
+	for _, r := range w.Runs {
+		if run := o.runs[r.Key]; run != nil && run.checkpoint != "" {
+			list = append(list, tracker.Checkpoint{Run: r.Key, Value: run.checkpoint})
+		}
+	}
+	return list
+}
+
+// fillCheckpoints gives ends of runs that the runner knows no more the last checkpoint that it had listed.
+func (o *observer) fillCheckpoints(ends []tracker.End) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, end := range ends {
+		if run := o.runs[end.Run]; run != nil && end.Kind == tracker.EndLapsed && end.Checkpoint == "" {
+			ends[i].Checkpoint = run.checkpoint
+		}
+	}
+}
+
+// input returns what the planner needs of the observations, and forgets runs that have ended.
+func (o *observer) input(s tracker.State, now timekeeper.Millis) (progress map[tracker.RunKey]planner.Progress, avoid map[string]bool, leaving map[string]timekeeper.Millis) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	progress, leaving = map[tracker.RunKey]planner.Progress{}, map[string]timekeeper.Millis{}
+	kept := make(map[tracker.RunKey]*observed, len(o.runs))
+	for _, w := range s.Workers() {
+		for _, r := range w.Runs {
+			run := o.run(r.Key, now)
+			kept[r.Key] = run
+			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping {
+				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
+			}
+		}
+		if at, ok := o.leaving[w.Name]; ok {
+			leaving[w.Name] = max(at-now, 0)
+		}
+	}
+	o.runs = kept
+	return progress, o.avoided(s, now), leaving
+}
+
+func (o *observer) avoided(s tracker.State, now timekeeper.Millis) map[string]bool {
+	avoid := map[string]bool{}
+	limit := int(avoidShare * float64(len(s.Workers())))
+	for _, w := range s.Workers() {
+		if h := o.workers[w.Name]; h != nil && now < h.until && len(avoid) < limit {
+			avoid[w.Name] = true
+		}
+	}
+	return avoid
+}
+
+func (r *observed) progress(step modeler.Step, now timekeeper.Millis) planner.Progress {
+	p := planner.Progress{Percent: r.percent, Checkpoint: r.checkpoint, Running: now - r.since}
+	if r.first == 0 || step.LongRunning {
+		return p
+	}
+	patience := stallTime + timekeeper.Millis(stallShare*float64(step.Estimate))
+	p.Stalled = now-r.moved > patience
+	ran := now - r.first
+	if ran > slowAfter && r.percent > 0 {
+		whole := float64(ran) * 100 / float64(r.percent)
+		p.Slow = whole > slowFactor*float64(step.Estimate)
+	}
+	return p
+}
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -64,7 +64,17 @@
 }
 
 // Open reads the journal under dir, making the folder and a new identity where it is empty.
-func Open(dir string) (*Journal, error) {
+func Open(dir string) (*Journal, error) { return open(dir, uuid.New()) }
+
+// OpenAs is Open, but that an empty folder gets the identity that IdentityOf gives for name.
+func OpenAs(dir, name string) (*Journal, error) { return open(dir, namedIdentity(name)) }
+
+// IdentityOf returns the identity of the first replica with the given name, which everybody can work out.
+func IdentityOf(name string) uint64 { return identityFrom(namedIdentity(name)) }
+
+func namedIdentity(name string) uuid.UUID { return uuid.NewSHA1(uuid.NameSpaceURL, []byte(name)) }
+
+func open(dir string, fresh uuid.UUID) (*Journal, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, fmt.Errorf("make data folder: %w", err)
 	}
@@ -72,7 +82,7 @@
 	if err := removeTemporary(dir); err != nil {
 		return nil, fmt.Errorf("remove unfinished files: %w", err)
 	}
-	if err := j.loadIdentity(); err != nil {
+	if err := j.loadIdentity(fresh); err != nil {
 		return nil, fmt.Errorf("load identity: %w", err)
 	}
 	if err := j.loadSnapshot(); err != nil {
@@ -259,14 +269,13 @@
 	return j.file.Close()
 }
 
-func (j *Journal) loadIdentity() error {
+func (j *Journal) loadIdentity(fresh uuid.UUID) error {
 	path := filepath.Join(j.dir, identityFile)
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		id := uuid.New()
 		j.fresh = true
-		j.identity = identityFrom(id)
-		return j.writeFile(identityFile, []byte(id.String()))
+		j.identity = identityFrom(fresh)
+		return j.writeFile(identityFile, []byte(fresh.String()))
 	}
 	if err != nil {
 		return fmt.Errorf("read identity: %w", err)
--- a/internal/launcher/agent.go
+++ b/internal/launcher/agent.go
@@ -18,12 +18,12 @@
 type agentRole struct {
 	settings configurer.Settings
 	log      logger.Logger
-	group    *group
+	group    *Group
 	agent    *agent.Agent
 	http     *http.Server
 }
 
-func (a *agentRole) start(context.Context) error {
+func (a *agentRole) Start(context.Context) error {
 	listener, err := net.Listen("tcp", a.settings.AgentAddress)
 	if err != nil {
 		return fmt.Errorf("listen for entries: %w", err)
@@ -36,18 +36,18 @@
 	balancer.Register(routes, func() error { return nil })
 	a.agent.Gate().Register(routes)
 	a.http = &http.Server{Handler: routes, ReadHeaderTimeout: readHeaderTimeout}
-	a.group.run("agent", a.agent.Run)
-	a.group.run("request server", func(context.Context) error { return serveHTTP(a.http, listener) })
+	a.group.Run("agent", a.agent.Run)
+	a.group.Run("request server", func(context.Context) error { return serveHTTP(a.http, listener) })
 	return nil
 }
 
 // stop refuses new requests, drains the worker, and ends when nothing is in flight.
-func (a *agentRole) stop(ctx context.Context) error {
+func (a *agentRole) Stop(ctx context.Context) error {
 	a.agent.Leave(ctx)
 	drain, cancel := context.WithTimeout(ctx, a.settings.DrainTime)
 	defer cancel()
 	err := a.http.Shutdown(drain)
-	a.group.stop()
+	a.group.Stop()
 	if err != nil {
 		return fmt.Errorf("requests were still in flight after the drain time: %w", err)
 	}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -24,7 +24,7 @@
 type control struct {
 	settings configurer.Settings
 	log      logger.Logger
-	group    *group
+	group    *Group
 	journal  *journaler.Journal
 	node     *replicator.Node
 	server   *controller.Server
@@ -32,7 +32,7 @@
 	sender   *messenger.Messenger
 }
 
-func (c *control) start(context.Context) error {
+func (c *control) Start(context.Context) error {
 	journal, err := journaler.Open(c.settings.DataDir)
 	if err != nil {
 		c.log.Log(logger.ReplicaFailed, logger.F("error", err))
@@ -41,7 +41,7 @@
 	c.journal = journal
 	machine := registrar.NewMachine(nil)
 	receive := func(m replicator.Message) { c.node.Receive(m) }
-	c.sender = messenger.New(c.group.ctx, c.settings.ControlAddress, receive)
+	c.sender = messenger.New(c.group.Context(), c.settings.ControlAddress, receive)
 	c.node, err = replicator.NewNode(replicator.NodeConfig{
 		Journal: journal, Machine: machine, Transport: c.sender, Clock: timekeeper.Monotonic{},
 		Timing: replicator.Timing{
@@ -61,10 +61,10 @@
 	c.grpc = newGRPC()
 	c.server.Register(c.grpc)
 	c.sender.Register(c.grpc)
-	c.group.run("replica", c.runNode)
-	c.group.run("control server", func(context.Context) error { return serveGRPC(c.grpc, listener) })
-	c.group.run("overseer", c.server.Oversee)
-	c.group.run("enrolment", func(ctx context.Context) error {
+	c.group.Run("replica", c.runNode)
+	c.group.Run("control server", func(context.Context) error { return serveGRPC(c.grpc, listener) })
+	c.group.Run("overseer", c.server.Oversee)
+	c.group.Run("enrolment", func(ctx context.Context) error {
 		err := c.server.Enrol(ctx, c.settings.ControlSeats, func() {
 			c.node.Bootstrap(c.settings.ControlAddress, c.settings.ControlSeats)
 		})
@@ -85,9 +85,9 @@
 }
 
 // stop hands leadership over, then ends the replica.
-func (c *control) stop(ctx context.Context) error {
+func (c *control) Stop(ctx context.Context) error {
 	c.server.HandOver(ctx)
-	c.group.stop(c.grpc.Stop)
+	c.group.Stop(c.grpc.Stop)
 	c.sender.Wait()
 	return c.journal.Close()
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -42,7 +42,7 @@
 type entry struct {
 	settings configurer.Settings
 	log      logger.Logger
-	group    *group
+	group    *Group
 
 	client   *controller.Client
 	machine  *registrar.Machine
@@ -61,7 +61,7 @@
 	wasReady bool
 }
 
-func (e *entry) start(context.Context) error {
+func (e *entry) Start(context.Context) error {
 	tokens, err := authenticator.Load(e.settings.TokenFile)
 	if err != nil {
 		return fmt.Errorf("load tokens: %w", err)
@@ -76,15 +76,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	e.group.run("log follower", e.follower.Run)
-	e.group.run("confirmation", e.confirm)
-	e.group.run("rounds", e.rounds.Run)
-	e.group.run("reports", e.hub.Report)
-	e.group.run("claims", e.handler.Claimer.Run)
-	e.group.run("settlements", e.handler.Run)
-	e.group.run("gauges", e.watch)
-	e.group.run("agent server", func(context.Context) error { return serveGRPC(e.grpc, agents) })
-	e.group.run("caller server", func(context.Context) error { return serveHTTP(e.http, callers) })
+	e.group.Run("log follower", e.follower.Run)
+	e.group.Run("confirmation", e.confirm)
+	e.group.Run("rounds", e.rounds.Run)
+	e.group.Run("reports", e.hub.Report)
+	e.group.Run("claims", e.handler.Claimer.Run)
+	e.group.Run("settlements", e.handler.Run)
+	e.group.Run("gauges", e.watch)
+	e.group.Run("agent server", func(context.Context) error { return serveGRPC(e.grpc, agents) })
+	e.group.Run("caller server", func(context.Context) error { return serveHTTP(e.http, callers) })
 	return nil
 }
 
@@ -217,7 +217,7 @@
 
 // stop drains the entry: the balancer is told, what still comes is served, what is in flight ends, agents attach
 // elsewhere, and the leader is told.
-func (e *entry) stop(ctx context.Context) error {
+func (e *entry) Stop(ctx context.Context) error {
 	e.holder.Drain()
 	sleep(ctx, e.settings.BalancerInterval)
 	drain, cancel := context.WithTimeout(ctx, e.settings.DrainTime)
@@ -229,7 +229,7 @@
 	e.holder.Stop()
 	e.hub.Leave()
 	sleep(ctx, leaveWait)
-	e.group.stop(e.grpc.Stop)
+	e.group.Stop(e.grpc.Stop)
 	e.client.Close()
 	_ = e.meterEnd.Close()
 	if err != nil {
--- /dev/null
+++ b/internal/launcher/replica.go
@@ -0,0 +1,102 @@
+package launcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/coordinator"
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/locator"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/messenger"
+	"github.com/lagoonmill/lagoonmill/internal/meter"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// ReplicaSettings are what a control replica for jobs of steps and tasks is started with.
+type ReplicaSettings struct {
+	Coordinator coordinator.Settings
+	DataDir     string
+	Seeds       []string // addresses of the first voters
+	First       bool     // the whole system starts for the first time
+}
+
+// Replica is the control role for jobs of steps and tasks.
+type Replica struct {
+	settings ReplicaSettings
+	log      logger.Logger
+	meter    meter.Meter
+	locator  *locator.Locator
+	group    *Group
+
+	journal     *journaler.Journal
+	node        *replicator.Node
+	coordinator *coordinator.Coordinator
+	grpc        *grpc.Server
+	sender      *messenger.Messenger
+}
+
+// NewReplica returns the control role; l finds the other replicas.
+func NewReplica(settings ReplicaSettings, l *locator.Locator, group *Group, log logger.Logger, m meter.Meter) *Replica {
+	return &Replica{settings: settings, locator: l, group: group, log: log, meter: m}
+}
+
+// Start restores the replica from its disk and makes it a member.
+func (r *Replica) Start(context.Context) error {
+	seed := slices.Contains(r.settings.Seeds, r.settings.Coordinator.Address)
+	if err := r.openJournal(seed && r.settings.First); err != nil {
+		r.log.Log(logger.ReplicaFailed, logger.F("error", err))
+		return fmt.Errorf("open journal: %w", err)
+	}
+	machine := tracker.NewMachine()
+	address := r.settings.Coordinator.Address
+	r.sender = messenger.New(r.group.Context(), address, func(m replicator.Message) { r.node.Receive(m) })
+	var err error
+	r.node, err = replicator.NewNode(replicator.NodeConfig{
+		Journal: r.journal, Machine: machine, Transport: r.sender, Clock: timekeeper.Monotonic{}, Seed: rand.Uint64(),
+	})
+	if err != nil {
+		return fmt.Errorf("restore replica: %w", err)
+	}
+	r.coordinator = coordinator.New(r.settings.Coordinator, r.node, machine, r.log, r.meter)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for control: %w", err)
+	}
+	r.grpc = newGRPC()
+	r.coordinator.Register(r.grpc)
+	r.sender.Register(r.grpc)
+	r.group.Run("replica", r.node.Run)
+	if seed && r.settings.First {
+		r.node.BootstrapWith(coordinator.FirstMembership(r.settings.Seeds))
+	}
+	r.group.Run("control server", func(context.Context) error { return serveGRPC(r.grpc, listener) })
+	r.group.Run("leader", r.coordinator.Lead)
+	r.group.Run("membership", r.coordinator.Heal)
+	r.group.Run("enrolment", func(ctx context.Context) error { return r.coordinator.Enrol(ctx, r.locator) })
+	return nil
+}
+
+func (r *Replica) openJournal(named bool) (err error) {
+	if named {
+		r.journal, err = journaler.OpenAs(r.settings.DataDir, r.settings.Coordinator.Address)
+		return err
+	}
+	r.journal, err = journaler.Open(r.settings.DataDir)
+	return err
+}
+
+// Stop hands leadership over, then ends the replica.
+func (r *Replica) Stop(ctx context.Context) error {
+	r.coordinator.HandOver(ctx)
+	r.group.Stop(r.grpc.Stop)
+	r.sender.Wait()
+	return r.journal.Close()
+}
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -64,6 +64,21 @@
 	EntryLost           = declare(2010, Warning, "entry lost", "An entry process ended or was silent past its lease; its unsettled requests are orphaned.")
 	RevisionInForce     = declare(2011, Info, "revision in force everywhere", "Gives the revision and the time since it was accepted.")
 	ProposalFailed      = declare(2012, Warning, "proposal of the leader failed", "It is tried again in the next round.")
+
+	LeadershipTaken  = declare(2013, Info, "leadership taken", "Gives the term, the index applied and the members. Workers keep their runs until leases of earlier leaders have ended.")
+	LeadershipEnded  = declare(2014, Info, "leadership ended", "Another replica leads, or no quorum was heard.")
+	ConfigurationSet = declare(2015, Info, "configuration accepted", "Gives the version sent and the version held before; a version that is not newer changes nothing.")
+	JobAccepted      = declare(2016, Info, "job accepted", "It is committed; gives queue, workspace, steps and work.")
+	JobRefused       = declare(2017, Info, "job refused", "Nothing was stored and nothing will run; gives the reason.")
+	JobCancelled     = declare(2018, Info, "job cancelled", "Its runs are being stopped.")
+	RunAssigned      = declare(2019, Info, "run assigned", "Gives the worker, the state decided on and the index of the decision.")
+	RunStopping      = declare(2020, Info, "run to be stopped", "To make room for work of a higher rank, or because it stands still or its worker leaves.")
+	RunEnded         = declare(2021, Info, "run ended", "Gives the worker, the kind of end and the number under which the runner lists it.")
+	WorkerAttached   = declare(2022, Info, "worker attached", "Gives the fencing token, the runner's life and what it offers.")
+	WorkerDetached   = declare(2023, Warning, "worker detached", "Its runner left or its lease ended; its runs are lost and start again elsewhere.")
+	WorkerDraining   = declare(2024, Info, "worker draining", "No run is started there any more.")
+	WorkerAvoided    = declare(2025, Warning, "worker avoided", "Runs of several jobs failed, hung or were slow there.")
+	JobUncertain     = declare(2026, Warning, "outcome not known", "The command may or may not be committed; the caller sends it again.")
 )
 
 // The events of entries.
@@ -93,4 +108,26 @@
 	RunnerLeaving     = declare(4009, Info, "backend server is leaving", "It gets no new requests; those in flight end.")
 	RunnerSilent      = declare(4010, Warning, "backend server silent", "It did not renew its announcement; it gets no new requests.")
 	StrayTasksStopped = declare(4011, Warning, "stray tasks stopped", "Tasks of an earlier agent process were still running.")
+
+	RunnerAttached   = declare(4012, Info, "runner attached", "Gives its life and the fencing token of the attachment.")
+	RunnerReplaced   = declare(4013, Info, "runner has another life", "It holds nothing of before; the agent attaches anew.")
+	RunnerDraining   = declare(4014, Info, "runner is draining", "The agent starts nothing there any more.")
+	RunnerLeft       = declare(4015, Info, "runner has left", "Nothing runs there any more.")
+	RunStarted       = declare(4016, Info, "run started", "The runner confirmed the start.")
+	RunStopped       = declare(4017, Info, "run stopped", "The runner confirmed the order to stop; its end follows.")
+	RunRejected      = declare(4018, Warning, "start rejected", "The runner did nothing; gives its reason.")
+	RunnerCallFailed = declare(4019, Warning, "call of the runner failed", "The order may be carried out all the same; it is sent again.")
+	AttachmentLost   = declare(4020, Warning, "attachment no longer holds", "The leader gave the worker up or another process attached; the agent attaches anew.")
+	LeaderFound      = declare(4021, Info, "control leader found", "Gives its address.")
+	LeaderLost       = declare(4022, Warning, "control leader lost", "No replica that leads answers; gives the time since the last answer.")
+	AnnouncementBad  = declare(4023, Warning, "announcement not understood", "It names no runner to use; gives the reason.")
+)
+
+// The events of the callers' side of entries on the platform.
+var (
+	CallAnswered         = declare(3011, Info, "call answered", "Gives method, job, queue, status and time taken.")
+	CallFailed           = declare(3012, Warning, "call not decided", "No leader answered in time; the caller sends the call again under the same id.")
+	ConfigurationRefused = declare(3014, Info, "configuration refused", "It cannot be read or contradicts itself; nothing changed.")
+	SettingsRefused      = declare(3015, Warning, "settings refused", "The settings file cannot be used; the process goes on with those it has.")
+	LinesDropped         = declare(3013, Warning, "log lines dropped", "Standard output was not read fast enough; gives the number left out.")
 )
--- /dev/null
+++ b/internal/modeler/job.go
@@ -0,0 +1,152 @@
+package modeler
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// JobID names a job for good; the caller chooses it.
+type JobID string
+
+// Resources is an amount of what a worker has.
+type Resources struct {
+	MilliCores   int `cbor:"1,keyasint,omitempty"`
+	MemoryMB     int `cbor:"2,keyasint,omitempty"`
+	Accelerators int `cbor:"3,keyasint,omitempty"`
+}
+
+// Plus returns the sum of r and o.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns r less o; amounts may fall below zero.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCores * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Fits reports whether r is no more than room in any amount.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCores <= room.MilliCores && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// CountIn returns how many times r fits into room, at most limit.
+func (r Resources) CountIn(room Resources, limit int) int {
+	n := countIn(r.MilliCores, room.MilliCores, limit)
+	n = countIn(r.MemoryMB, room.MemoryMB, n)
+	return countIn(r.Accelerators, room.Accelerators, n)
+}
+
+func countIn(need, room, limit int) int {
+	if need <= 0 {
+		return limit
+	}
+	return max(min(limit, room/need), 0)
+}
+
+// Weight returns the amount as one number, an accelerator counting as eight cores, in thousandths of a core.
+func (r Resources) Weight() int { return r.MilliCores + acceleratorMilliCores*r.Accelerators }
+
+// acceleratorMilliCores is what an accelerator counts for against cores, as the users price both.
+const acceleratorMilliCores = 8000
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	Count         int               `cbor:"1,keyasint"`
+	Need          Resources         `cbor:"2,keyasint"` // of each task
+	Estimate      timekeeper.Millis `cbor:"3,keyasint,omitempty"`
+	After         []int             `cbor:"4,keyasint,omitempty"`  // steps that must be done first
+	Checkpointing bool              `cbor:"5,keyasint,omitempty"`  // runs save their progress
+	Gang          bool              `cbor:"6,keyasint,omitempty"`  // the tasks run together or not at all
+	OneRack       bool              `cbor:"7,keyasint,omitempty"`  // the gang is much slower across racks
+	DataRack      string            `cbor:"8,keyasint,omitempty"`  // elsewhere the tasks are much slower
+	Label         string            `cbor:"9,keyasint,omitempty"`  // a label that the worker must have
+	MaxPerWorker  int               `cbor:"10,keyasint,omitempty"` // zero is no limit
+	LongRunning   bool              `cbor:"11,keyasint,omitempty"` // runs until the job is cancelled
+	Copies        bool              `cbor:"12,keyasint,omitempty"` // parallel runs of one task are allowed
+}
+
+// Total returns what all tasks of the step need at once.
+func (s Step) Total() Resources { return s.Need.Times(s.Count) }
+
+// Job is what a caller submitted.
+type Job struct {
+	ID        JobID             `cbor:"1,keyasint"`
+	Queue     string            `cbor:"2,keyasint"`
+	Workspace string            `cbor:"3,keyasint,omitempty"`
+	Payload   string            `cbor:"4,keyasint,omitempty"` // handed to every run as it is
+	Steps     []Step            `cbor:"5,keyasint"`
+	Submitted timekeeper.Millis `cbor:"6,keyasint"` // since the Unix epoch, by the leader that accepted it
+}
+
+// Work returns the weight of the job's tasks times their estimates, in thousandths of a core times milliseconds.
+func (j Job) Work() int {
+	total := 0
+	for _, s := range j.Steps {
+		total += s.Count * s.Need.Weight() * int(s.Estimate)
+	}
+	return total
+}
+
+// Chain returns the longest chain of estimates through the job's dependencies.
+func (j Job) Chain() timekeeper.Millis {
+	ends := make([]timekeeper.Millis, len(j.Steps))
+	longest := timekeeper.Millis(0)
+	for i, s := range j.Steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Accelerators returns what all steps of the job need together, as guarantees count it.
+func (j Job) Accelerators() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Total().Accelerators
+	}
+	return n
+}
+
+const (
+	maxSteps = 64   // bounds the state that one submission makes
+	maxTasks = 4096 // likewise, for one step
+)
+
+// Check reports what makes the job impossible to run as it stands, whatever the cluster.
+func (j Job) Check() error {
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		return fmt.Errorf("a job has 1 to %d steps, got %d", maxSteps, len(j.Steps))
+	}
+	for i, s := range j.Steps {
+		if err := s.check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (s Step) check(index int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("a step has 1 to %d tasks, got %d", maxTasks, s.Count)
+	}
+	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 {
+		return errors.New("amounts and estimates are not negative")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return fmt.Errorf("a step may wait for earlier steps only, got %d", before)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/planner/board.go
@@ -0,0 +1,163 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// room is one worker's room while a plan is made.
+type room struct {
+	worker tracker.Worker
+	rack   string
+	free   modeler.Resources // neither held by a run nor promised in this plan
+	soon   modeler.Resources // free, and what is being stopped, less what is promised
+	avoid  bool
+	steps  map[stepKey]int // tasks of a step on the worker, those placed in this plan included
+}
+
+type stepKey struct {
+	job  modeler.JobID
+	step int
+}
+
+// board is the state of a plan in the making; it belongs to one call of Plan.
+type board struct {
+	in    Input
+	rooms []*room
+	byID  map[string]*room
+	runs  []placedRun // that hold room and are not being stopped
+}
+
+// placedRun is a run with what its stop would cost and free.
+type placedRun struct {
+	run   tracker.Run
+	room  *room
+	rank  int
+	loss  int // unsaved work, in thousandths of a core times milliseconds
+	group stepKey
+	gang  bool
+	fixed bool // must not be stopped
+}
+
+func newBoard(in Input) *board {
+	b := &board{in: in, byID: map[string]*room{}}
+	ranks := map[modeler.JobID]int{}
+	for _, c := range rank(in) {
+		ranks[c.job.ID] = c.rank
+	}
+	for _, w := range in.State.Workers() {
+		if !w.Usable() || in.Silent[w.Name] {
+			continue
+		}
+		r := &room{worker: w, rack: w.Profile.Rack(), free: w.Free(), soon: w.Free(), avoid: in.Avoid[w.Name], steps: map[stepKey]int{}}
+		b.rooms = append(b.rooms, r)
+		b.byID[w.Name] = r
+		for _, run := range w.Runs {
+			b.addRun(r, run, ranks)
+		}
+	}
+	return b
+}
+
+func (b *board) addRun(r *room, run tracker.Run, ranks map[modeler.JobID]int) {
+	key := run.Key.Task
+	r.steps[stepKey{key.Job, key.Step}]++
+	if run.Stopping {
+		r.soon = r.soon.Plus(run.Need)
+		return
+	}
+	j, ok := b.in.State.Job(key.Job)
+	rank, open := ranks[key.Job]
+	if !ok || !open {
+		return
+	}
+	step := j.Steps[key.Step]
+	b.runs = append(b.runs, placedRun{
+		run: run, room: r, rank: rank, loss: b.loss(run, step), group: stepKey{key.Job, key.Step},
+		gang: step.Gang, fixed: step.LongRunning,
+	})
+}
+
+// loss returns the work that a stop of the run throws away.
+func (b *board) loss(run tracker.Run, step modeler.Step) int {
+	unsaved := b.in.Progress[run.Key].Running
+	if step.Checkpointing {
+		unsaved = min(unsaved, restoreCost)
+	}
+	return run.Need.Weight() * int(unsaved)
+}
+
+// restoreCost is the time that a stop and a resumption from a checkpoint take from a run, in milliseconds.
+const restoreCost timekeeper.Millis = 1000
+
+// remaining estimates how long a run still takes.
+func (b *board) remaining(key tracker.RunKey) timekeeper.Millis {
+	j, ok := b.in.State.Job(key.Task.Job)
+	if !ok {
+		return 0
+	}
+	p := b.in.Progress[key]
+	if p.Percent > 0 && p.Running > 0 {
+		return p.Running * timekeeper.Millis(100-p.Percent) / timekeeper.Millis(p.Percent)
+	}
+	return j.Steps[key.Task.Step].Estimate
+}
+
+// stop orders the end of a run and of the gang it belongs to.
+func (b *board) stop(plan *tracker.Assign, key tracker.RunKey) {
+	j, ok := b.in.State.Job(key.Task.Job)
+	if !ok {
+		return
+	}
+	if !j.Steps[key.Task.Step].Gang {
+		b.stopOne(plan, key)
+		return
+	}
+	for index, t := range j.Tasks[key.Task.Step] {
+		if t.Phase == tracker.TaskAssigned {
+			b.stopOne(plan, tracker.RunKey{Task: tracker.TaskKey{Job: j.ID, Step: key.Task.Step, Index: index}, Attempt: t.Attempt})
+		}
+	}
+}
+
+func (b *board) stopOne(plan *tracker.Assign, key tracker.RunKey) {
+	if slices.Contains(plan.Stops, key) {
+		return
+	}
+	plan.Stops = append(plan.Stops, key)
+	at := slices.IndexFunc(b.runs, func(r placedRun) bool { return r.run.Key == key })
+	if at < 0 {
+		return
+	}
+	b.runs[at].room.soon = b.runs[at].room.soon.Plus(b.runs[at].run.Need)
+	b.runs = slices.Delete(b.runs, at, at+1)
+}
+
+// take uses up free room.
+func (b *board) take(p placement) {
+	for _, s := range p {
+		s.room.free = s.room.free.Minus(s.need)
+		s.room.soon = s.room.soon.Minus(s.need)
+		s.room.steps[s.group]++
+	}
+}
+
+// promise keeps room that is free or will be for a demand of a high rank, so that no other takes it meanwhile.
+func (b *board) promise(p placement) {
+	for _, s := range p {
+		s.room.soon = s.room.soon.Minus(s.need)
+		s.room.free = atMost(s.room.free, s.room.soon)
+		s.room.steps[s.group]++
+	}
+}
+
+func atMost(a, b modeler.Resources) modeler.Resources {
+	return modeler.Resources{
+		MilliCores:   min(a.MilliCores, b.MilliCores),
+		MemoryMB:     min(a.MemoryMB, b.MemoryMB),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
--- /dev/null
+++ b/internal/planner/place.go
@@ -0,0 +1,179 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+)
+
+// spot is a place for one task.
+type spot struct {
+	room  *room
+	need  modeler.Resources
+	group stepKey
+}
+
+// placement is a place for each task of a demand, in their order.
+type placement []spot
+
+// offer tells what a room can give: what is free now, or what will be.
+type offer func(*room) modeler.Resources
+
+func freeNow(r *room) modeler.Resources  { return r.free }
+func freeSoon(r *room) modeler.Resources { return r.soon }
+
+// placeFree finds room that is free now.
+func (b *board) placeFree(d demand) (placement, bool) { return b.place(d, freeNow) }
+
+// place finds a place for all tasks of a demand. A gang that wants one rack gets the tightest one that holds it;
+// only a gang that no rack could ever hold is spread.
+func (b *board) place(d demand, give offer) (placement, bool) {
+	rooms := b.allowed(d)
+	if !d.spec().Gang || !d.spec().OneRack {
+		return fill(d, rooms, give)
+	}
+	racks := byRack(rooms)
+	if !anyRackHolds(d, racks) {
+		return fill(d, rooms, give)
+	}
+	var best placement
+	bestLeft := 0
+	for _, rack := range racks {
+		p, ok := fill(d, rack, give)
+		if !ok {
+			continue
+		}
+		left := leftIn(rack, give)
+		if best == nil || left < bestLeft {
+			best, bestLeft = p, left
+		}
+	}
+	return best, best != nil
+}
+
+// allowed returns the rooms that may hold the demand's tasks. Workers to avoid, and the one on which a task failed
+// last, are left out while others could hold it.
+func (b *board) allowed(d demand) []*room {
+	var good, poor []*room
+	for _, r := range b.rooms {
+		if !d.allows(r.worker) {
+			continue
+		}
+		if r.avoid || d.shuns(r.worker.Name) {
+			poor = append(poor, r)
+			continue
+		}
+		good = append(good, r)
+	}
+	if couldHold(d, good) {
+		return good
+	}
+	return append(good, poor...)
+}
+
+// couldHold reports whether the demand would fit if nothing else ran.
+func couldHold(d demand, rooms []*room) bool {
+	left := len(d.tasks)
+	for _, r := range rooms {
+		left -= limited(d, r, d.spec().Need.CountIn(r.worker.Profile.Capacity, left))
+	}
+	return left <= 0
+}
+
+func limited(d demand, r *room, n int) int {
+	if limit := d.spec().MaxPerWorker; limit > 0 {
+		return min(n, limit)
+	}
+	return n
+}
+
+func byRack(rooms []*room) [][]*room {
+	racks := map[string][]*room{}
+	var names []string
+	for _, r := range rooms {
+		if racks[r.rack] == nil {
+			names = append(names, r.rack)
+		}
+		racks[r.rack] = append(racks[r.rack], r)
+	}
+	slices.Sort(names)
+	list := make([][]*room, 0, len(names))
+	for _, name := range names {
+		list = append(list, racks[name])
+	}
+	return list
+}
+
+func anyRackHolds(d demand, racks [][]*room) bool {
+	return slices.ContainsFunc(racks, func(rack []*room) bool { return couldHold(d, rack) })
+}
+
+func leftIn(rooms []*room, give offer) int {
+	left := 0
+	for _, r := range rooms {
+		left += give(r).Weight()
+	}
+	return left
+}
+
+// fill places each task in the room that it leaves fullest, so that empty workers stay whole for what needs them.
+func fill(d demand, rooms []*room, give offer) (placement, bool) {
+	group := stepKey{d.job.ID, d.step}
+	need := d.spec().Need
+	taken := map[*room]modeler.Resources{}
+	placed := map[*room]int{}
+	var p placement
+	for range d.tasks {
+		best := pick(d, rooms, func(r *room) (modeler.Resources, bool) {
+			left := give(r).Minus(taken[r])
+			limit := d.spec().MaxPerWorker
+			return left, need.Fits(left) && (limit == 0 || r.steps[group]+placed[r] < limit)
+		})
+		if best == nil {
+			return nil, false
+		}
+		taken[best] = taken[best].Plus(need)
+		placed[best]++
+		p = append(p, spot{best, need, group})
+	}
+	return p, true
+}
+
+// pick returns the best of the rooms that fit: near the data first, then the one with least left over.
+func pick(d demand, rooms []*room, fits func(*room) (modeler.Resources, bool)) *room {
+	var best *room
+	bestFar, bestLeft := 0, 0.0
+	for _, r := range rooms {
+		left, ok := fits(r)
+		if !ok {
+			continue
+		}
+		far, rest := distance(d, r), share(left.Minus(d.spec().Need), r.worker.Profile.Capacity)
+		if best == nil || cmp.Or(cmp.Compare(far, bestFar), cmp.Compare(rest, bestLeft)) < 0 {
+			best, bestFar, bestLeft = r, far, rest
+		}
+	}
+	return best
+}
+
+// distance is zero for a worker in the rack of the step's data.
+func distance(d demand, r *room) int {
+	if want := d.spec().DataRack; want != "" && want != r.rack {
+		return 1
+	}
+	return 0
+}
+
+// share returns how much of a capacity is left, as the sum of the shares of each kind.
+func share(left, capacity modeler.Resources) float64 {
+	return ratio(left.MilliCores, capacity.MilliCores) + ratio(left.MemoryMB, capacity.MemoryMB) +
+		ratio(left.Accelerators, capacity.Accelerators)
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,162 @@
+package planner
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// Progress is what is known of a run beyond the log.
+type Progress struct {
+	Percent    int               // of the task's work
+	Checkpoint string            // last one saved
+	Running    timekeeper.Millis // since the run was assigned
+	Stalled    bool              // its percentage has stood still for too long
+	Slow       bool              // it is far behind what its estimate and its peers suggest
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	State    tracker.State
+	Now      timekeeper.Millis // since the Unix epoch, as the jobs' times of submission
+	Progress map[tracker.RunKey]Progress
+	Avoid    map[string]bool              // workers that fail, hang or slow what they run
+	Silent   map[string]bool              // workers whose agents were not heard for a while
+	Leaving  map[string]timekeeper.Millis // what is left at least to workers that drain
+}
+
+// Plan returns what to start and what to stop now.
+func Plan(in Input) tracker.Assign {
+	b := newBoard(in)
+	var plan tracker.Assign
+	b.stopStalled(&plan)
+	b.stopLeaving(&plan)
+	for _, c := range rank(in) {
+		for step := range c.job.Steps {
+			b.planStep(&plan, c, step)
+		}
+	}
+	return plan
+}
+
+// planStep starts what it can of a step, or makes room for it.
+func (b *board) planStep(plan *tracker.Assign, c candidate, step int) {
+	if !c.job.StepReady(step) {
+		return
+	}
+	waiting := waitingTasks(c.job, step)
+	if len(waiting) == 0 {
+		return
+	}
+	d := newDemand(c, step, waiting)
+	if !c.job.Steps[step].Gang {
+		b.planSingles(plan, d)
+		return
+	}
+	if len(waiting) == c.job.Steps[step].Count {
+		b.planGang(plan, d)
+	}
+}
+
+func waitingTasks(j tracker.Job, step int) []tracker.TaskKey {
+	var keys []tracker.TaskKey
+	for index, t := range j.Tasks[step] {
+		if t.Phase == tracker.TaskWaiting {
+			keys = append(keys, tracker.TaskKey{Job: j.ID, Step: step, Index: index})
+		}
+	}
+	return keys
+}
+
+// planSingles starts as many tasks as there is room for, and makes room for the rest where the rank allows it.
+func (b *board) planSingles(plan *tracker.Assign, d demand) {
+	for i, key := range d.tasks {
+		one := d.withTasks(d.tasks[i : i+1])
+		p, ok := b.placeFree(one)
+		if !ok {
+			b.makeRoomForRest(plan, d, i)
+			return
+		}
+		b.take(p)
+		plan.Starts = append(plan.Starts, b.start(d, key, d.nextAttempt(key), p[0]))
+	}
+}
+
+func (b *board) makeRoomForRest(plan *tracker.Assign, d demand, from int) {
+	for i := from; i < len(d.tasks); i++ {
+		if !b.makeRoom(plan, d.withTasks(d.tasks[i:i+1])) {
+			return
+		}
+	}
+}
+
+// planGang starts all members, or makes room for all.
+func (b *board) planGang(plan *tracker.Assign, d demand) {
+	p, ok := b.placeFree(d)
+	if !ok {
+		b.makeRoom(plan, d)
+		return
+	}
+	b.take(p)
+	attempt := 0
+	for _, key := range d.tasks {
+		attempt = max(attempt, d.nextAttempt(key))
+	}
+	for i, key := range d.tasks {
+		plan.Starts = append(plan.Starts, b.start(d, key, attempt, p[i]))
+	}
+}
+
+func (b *board) start(d demand, key tracker.TaskKey, attempt int, at spot) tracker.Start {
+	return tracker.Start{
+		Run:        tracker.RunKey{Task: key, Attempt: attempt},
+		Worker:     at.room.worker.Name,
+		Epoch:      at.room.worker.Epoch,
+		Checkpoint: d.checkpoint(key),
+	}
+}
+
+// stopStalled takes back runs that make no progress, so that they run elsewhere.
+func (b *board) stopStalled(plan *tracker.Assign) {
+	for _, key := range b.sortedRuns() {
+		p := b.in.Progress[key]
+		if p.Stalled || p.Slow {
+			b.stop(plan, key)
+		}
+	}
+}
+
+// stopLeaving takes back runs that cannot end before their worker leaves.
+func (b *board) stopLeaving(plan *tracker.Assign) {
+	for _, w := range b.in.State.Workers() {
+		if !w.Draining || w.Gone {
+			continue
+		}
+		for _, r := range w.Runs {
+			if !r.Stopping && b.remaining(r.Key) > b.in.Leaving[w.Name] {
+				b.stop(plan, r.Key)
+			}
+		}
+	}
+}
+
+func (b *board) sortedRuns() []tracker.RunKey {
+	var keys []tracker.RunKey
+	for key := range b.in.Progress {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(x, y tracker.RunKey) int {
+		if c := x.Task.Compare(y.Task); c != 0 {
+			return c
+		}
+		return x.Attempt - y.Attempt
+	})
+	return keys
+}
+
+// hasLabel reports whether a worker carries a label; no label is carried by all.
+func hasLabel(w tracker.Worker, label string) bool {
+	return label == "" || slices.ContainsFunc(w.Profile.Labels, func(l string) bool { return strings.EqualFold(l, label) })
+}
--- /dev/null
+++ b/internal/planner/preempt.go
@@ -0,0 +1,206 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// patience is the share of its objective that a job which is not urgent waits before it stops work of a lower rank.
+const patience = 0.3
+
+// makeRoom keeps room that is being freed for a demand, and orders stops where that is not enough. It reports
+// whether the demand will get its place.
+func (b *board) makeRoom(plan *tracker.Assign, d demand) bool {
+	if !b.mayPreempt(d) {
+		return false
+	}
+	if p, ok := b.place(d, freeSoon); ok {
+		b.promise(p)
+		return true
+	}
+	p, victims, ok := b.cheapest(d)
+	if !ok {
+		return false
+	}
+	for _, v := range victims {
+		b.stop(plan, v)
+	}
+	b.promise(p)
+	return true
+}
+
+func (b *board) mayPreempt(d demand) bool {
+	if d.rank <= rankUrgent {
+		return true
+	}
+	objective := d.due - d.job.Submitted
+	return d.rank < rankLate && b.in.Now-d.job.Submitted > timekeeper.Millis(patience*float64(objective))
+}
+
+// cheapest finds the place for which least work is lost, and the runs to stop for it.
+func (b *board) cheapest(d demand) (placement, []tracker.RunKey, bool) {
+	rooms := b.allowed(d)
+	if !d.spec().Gang || !d.spec().OneRack {
+		s := b.newSearch(d, rooms)
+		ok := s.run()
+		return s.placed, s.victims, ok
+	}
+	racks := byRack(rooms)
+	if !anyRackHolds(d, racks) {
+		racks = [][]*room{rooms}
+	}
+	var best *search
+	for _, rack := range racks {
+		s := b.newSearch(d, rack)
+		if s.run() && (best == nil || s.cost < best.cost) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil, nil, false
+	}
+	return best.placed, best.victims, true
+}
+
+// search places the tasks of a demand one after the other, each where it costs least.
+type search struct {
+	board   *board
+	demand  demand
+	rooms   []*room
+	reach   map[*room]modeler.Resources // what is there once the victims have ended, less what is placed
+	stopped map[tracker.RunKey]bool
+	counts  map[*room]int
+	placed  placement
+	victims []tracker.RunKey
+	cost    int
+}
+
+func (b *board) newSearch(d demand, rooms []*room) *search {
+	s := &search{
+		board: b, demand: d, rooms: rooms,
+		reach: map[*room]modeler.Resources{}, stopped: map[tracker.RunKey]bool{}, counts: map[*room]int{},
+	}
+	for _, r := range b.rooms {
+		s.reach[r] = r.soon
+	}
+	return s
+}
+
+func (s *search) run() bool {
+	for range s.demand.tasks {
+		if !s.placeOne() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *search) placeOne() bool {
+	var best *room
+	var bestVictims []placedRun
+	bestCost := 0
+	for _, r := range s.rooms {
+		if !s.underLimit(r) {
+			continue
+		}
+		victims, cost, ok := s.victimsOn(r)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestVictims, bestCost = r, victims, cost
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, v := range bestVictims {
+		s.stopGroup(v)
+	}
+	s.cost += bestCost
+	s.counts[best]++
+	s.reach[best] = s.reach[best].Minus(s.demand.spec().Need)
+	s.placed = append(s.placed, spot{best, s.demand.spec().Need, stepKey{s.demand.job.ID, s.demand.step}})
+	return true
+}
+
+func (s *search) underLimit(r *room) bool {
+	limit := s.demand.spec().MaxPerWorker
+	return limit == 0 || r.steps[stepKey{s.demand.job.ID, s.demand.step}]+s.counts[r] < limit
+}
+
+// victimsOn returns the runs of a lower rank to stop so that one task fits, cheapest first.
+func (s *search) victimsOn(r *room) (victims []placedRun, cost int, ok bool) {
+	need := s.demand.spec().Need
+	reach := s.reach[r]
+	if need.Fits(reach) {
+		return nil, 0, true
+	}
+	for _, v := range s.candidates(r) {
+		victims = append(victims, v)
+		reach = reach.Plus(v.run.Need)
+		if need.Fits(reach) {
+			victims, reach = s.spare(victims, reach)
+			return victims, s.costOf(victims), true
+		}
+	}
+	return nil, 0, false
+}
+
+// spare gives back victims that are not needed after all, dearest first.
+func (s *search) spare(victims []placedRun, reach modeler.Resources) ([]placedRun, modeler.Resources) {
+	need := s.demand.spec().Need
+	for i := len(victims) - 1; i >= 0; i-- {
+		without := reach.Minus(victims[i].run.Need)
+		if need.Fits(without) {
+			reach = without
+			victims = slices.Delete(victims, i, i+1)
+		}
+	}
+	return victims, reach
+}
+
+func (s *search) candidates(r *room) []placedRun {
+	var list []placedRun
+	for _, v := range s.board.runs {
+		if v.room == r && v.rank > s.demand.rank && !v.fixed && !s.stopped[v.run.Key] {
+			list = append(list, v)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b placedRun) int { return s.groupLoss(a) - s.groupLoss(b) })
+	return list
+}
+
+func (s *search) costOf(victims []placedRun) int {
+	cost := 0
+	for _, v := range victims {
+		cost += s.groupLoss(v)
+	}
+	return cost
+}
+
+// groupLoss returns what stopping a run throws away, the rest of its gang included.
+func (s *search) groupLoss(v placedRun) int {
+	if !v.gang {
+		return v.loss
+	}
+	loss := 0
+	for _, o := range s.board.runs {
+		if o.group == v.group {
+			loss += o.loss
+		}
+	}
+	return loss
+}
+
+func (s *search) stopGroup(v placedRun) {
+	for _, o := range s.board.runs {
+		same := o.run.Key == v.run.Key || v.gang && o.group == v.group
+		if !same || s.stopped[o.run.Key] {
+			continue
+		}
+		s.stopped[o.run.Key] = true
+		s.victims = append(s.victims, o.run.Key)
+		s.reach[o.room] = s.reach[o.room].Plus(o.run.Need)
+	}
+}
--- a/internal/replicator/lead.go
+++ b/internal/replicator/lead.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
 
 func (c *Core) tickLeader() {
 	if !c.heardQuorum() {
@@ -52,6 +56,27 @@
 	}
 }
 
+// Peer is what a leader knows of another member.
+type Peer struct {
+	Member   Member
+	Silence  timekeeper.Millis // since it was last heard
+	CaughtUp bool              // its log has reached the commit index
+}
+
+// Peers returns the other members as the leader knows them; a replica that does not lead knows none.
+func (c *Core) Peers() []Peer {
+	if c.role != Leader {
+		return nil
+	}
+	var peers []Peer
+	for _, o := range c.log.membership().Members {
+		if p := c.peers[o.ID]; p != nil {
+			peers = append(peers, Peer{o, c.now - p.heard, p.match >= c.commit && p.match > 0})
+		}
+	}
+	return peers
+}
+
 // Promotable returns learners whose log has reached the commit index.
 func (c *Core) Promotable() []Member {
 	var ready []Member
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -81,6 +81,7 @@
 	inbox      chan Message
 	transfers  chan chan bool
 	bootstraps chan Membership
+	inspects   chan chan []Peer
 	snapshots  chan snapshotDone
 	done       chan struct{}
 
@@ -126,6 +127,7 @@
 		inbox:      make(chan Message, inboxMessages),
 		transfers:  make(chan chan bool),
 		bootstraps: make(chan Membership),
+		inspects:   make(chan chan []Peer),
 		snapshots:  make(chan snapshotDone, 1),
 		done:       make(chan struct{}),
 		waiters:    map[uint64]waiter{},
@@ -144,8 +146,14 @@
 // node must run.
 func (n *Node) Bootstrap(address string, seats []string) {
 	self := Member{ID: n.ID(), Address: address, Voter: true}
+	n.BootstrapWith(Membership{Members: []Member{self}, Seats: seats})
+}
+
+// BootstrapWith makes a new log whose first entry is the given membership. Every replica that may be among its voters
+// and has no log yet must be given the very same one. The node must run.
+func (n *Node) BootstrapWith(m Membership) {
 	select {
-	case n.bootstraps <- Membership{Members: []Member{self}, Seats: seats}:
+	case n.bootstraps <- m:
 	case <-n.done:
 	}
 }
@@ -232,6 +240,19 @@
 	return false
 }
 
+// Peers returns what this replica, while it leads, knows of the others.
+func (n *Node) Peers(ctx context.Context) ([]Peer, error) {
+	answer := make(chan []Peer, 1)
+	select {
+	case n.inspects <- answer:
+		return <-answer, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait to inspect peers: %w", ctx.Err())
+	case <-n.done:
+		return nil, ErrStopped
+	}
+}
+
 // Run drives the replica until ctx ends or its disk fails.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.done)
@@ -260,6 +281,8 @@
 			answer <- n.core.Transfer()
 		case m := <-n.bootstraps:
 			n.core.Bootstrap(m)
+		case answer := <-n.inspects:
+			answer <- n.core.Peers()
 		case s := <-n.snapshots:
 			if err := n.adopt(s); err != nil {
 				return fmt.Errorf("adopt snapshot: %w", err)
--- /dev/null
+++ b/internal/tracker/state.go
@@ -0,0 +1,127 @@
+package tracker
+
+import (
+	"slices"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+)
+
+// State is everything that the log has decided; it is immutable and may be shared without locks.
+type State struct {
+	Index         uint64 // of the last command applied
+	Configuration modeler.Configuration
+	jobs          *immutable.SortedMap[modeler.JobID, Job]
+	open          *immutable.SortedMap[modeler.JobID, struct{}] // jobs that have not ended
+	workers       *immutable.SortedMap[string, Worker]
+}
+
+// New returns the state of a new cluster.
+func New() State {
+	return State{
+		jobs:    immutable.NewSortedMap[modeler.JobID, Job](nil),
+		open:    immutable.NewSortedMap[modeler.JobID, struct{}](nil),
+		workers: immutable.NewSortedMap[string, Worker](nil),
+	}
+}
+
+// Job returns the job with the given id.
+func (s State) Job(id modeler.JobID) (Job, bool) { return s.jobs.Get(id) }
+
+// Jobs calls visit with every job, by id.
+func (s State) Jobs(visit func(Job)) {
+	for it := s.jobs.Iterator(); !it.Done(); {
+		_, j, _ := it.Next()
+		visit(j)
+	}
+}
+
+// Open returns the jobs that have not ended, by id.
+func (s State) Open() []Job {
+	jobs := make([]Job, 0, s.open.Len())
+	for it := s.open.Iterator(); !it.Done(); {
+		id, _, _ := it.Next()
+		j, _ := s.jobs.Get(id)
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// Pending returns the number of jobs of a queue of which nothing has been started.
+func (s State) Pending(queue string) int {
+	n := 0
+	for _, j := range s.Open() {
+		if j.Queue == queue && j.Phase == JobQueued {
+			n++
+		}
+	}
+	return n
+}
+
+// Worker returns the worker with the given name.
+func (s State) Worker(name string) (Worker, bool) { return s.workers.Get(name) }
+
+// Workers returns all workers, by name, those that are gone included.
+func (s State) Workers() []Worker {
+	workers := make([]Worker, 0, s.workers.Len())
+	for it := s.workers.Iterator(); !it.Done(); {
+		_, w, _ := it.Next()
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+func (s *State) putJob(j Job) {
+	s.jobs = s.jobs.Set(j.ID, j)
+	if j.Phase.Ended() {
+		s.open = s.open.Delete(j.ID)
+		return
+	}
+	s.open = s.open.Set(j.ID, struct{}{})
+}
+
+func (s *State) putWorker(w Worker) {
+	w.Changed = s.Index
+	s.workers = s.workers.Set(w.Name, w)
+}
+
+// stopRuns marks every run of a job as to be stopped.
+func (s *State) stopRuns(j Job) {
+	for step := range j.Tasks {
+		s.stopStep(j, step)
+	}
+}
+
+func (s *State) stopStep(j Job, step int) {
+	for index, t := range j.Tasks[step] {
+		if t.Phase == TaskAssigned {
+			s.stopRun(t.Worker, RunKey{TaskKey{j.ID, step, index}, t.Attempt})
+		}
+	}
+}
+
+func (s *State) stopRun(worker string, key RunKey) {
+	w, ok := s.workers.Get(worker)
+	if !ok {
+		return
+	}
+	if at := w.run(key); at >= 0 && !w.Runs[at].Stopping {
+		s.putWorker(w.withStopping(at))
+	}
+}
+
+// loseRuns returns every run of a worker to its task as ended without a result.
+func (s *State) loseRuns(w Worker, saved []Checkpoint) Worker {
+	runs := w.Runs
+	w.Runs = nil
+	s.putWorker(w)
+	for _, r := range runs {
+		end := End{Run: r.Key, Kind: EndLapsed}
+		if i := slices.IndexFunc(saved, func(c Checkpoint) bool { return c.Run == r.Key }); i >= 0 {
+			end.Checkpoint = saved[i].Value
+		}
+		s.endTask(end)
+	}
+	return w
+}
