Replace connections between replicas that have gone silent

Ruled out: the election (pre-votes answered), the follower's disk (it wrote all the while). Change: a peer's connection is replaced when it was silent for a second while messages were sent to it. The request to join is logged once, not at each attempt.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -127,6 +127,7 @@
 func (c *Coordinator) Enrol(ctx context.Context, l *locator.Locator) error {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	asking := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -134,21 +135,23 @@
 		case <-ticker.C:
 		}
 		if c.node.Status().Leader != 0 {
+			asking = false
 			continue
 		}
-		c.askToJoin(ctx, l)
+		err := c.askToJoin(ctx, l)
+		if !asking {
+			c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(c.node.ID())), logger.F("address", c.settings.Address), logger.F("error", err))
+		}
+		asking = true
 	}
 }
 
-func (c *Coordinator) askToJoin(ctx context.Context, l *locator.Locator) {
+func (c *Coordinator) askToJoin(ctx context.Context, l *locator.Locator) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	r := &JoinRequest{ID: c.node.ID(), Address: c.settings.Address}
-	if _, err := locator.Call[JoinRequest, JoinResponse](ctx, l, MethodJoin, 0, r); err != nil {
-		c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(r.ID)), logger.F("error", err))
-		return
-	}
-	c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(r.ID)), logger.F("address", r.Address))
+	_, err := locator.Call[JoinRequest, JoinResponse](ctx, l, MethodJoin, 0, r)
+	return err
 }
 
 // join adds a replica as a learner; heal gives it a vote once it has caught up.
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -46,6 +47,7 @@
 	mu        sync.Mutex
 	addresses map[replicator.ReplicaID]string
 	peers     map[string]*peer
+	heard     map[string]time.Time // by address, when the last messages from there arrived
 	ended     sync.WaitGroup
 }
 
@@ -56,6 +58,7 @@
 		ctx: ctx, self: self, receive: receive,
 		addresses: map[replicator.ReplicaID]string{},
 		peers:     map[string]*peer{},
+		heard:     map[string]time.Time{},
 	}
 }
 
@@ -109,7 +112,7 @@
 	if p := m.peers[address]; p != nil {
 		return p
 	}
-	p := &peer{address: address, self: m.self, queue: make(chan []replicator.Message, queueBatches)}
+	p := &peer{address: address, self: m.self, queue: make(chan []replicator.Message, queueBatches), heard: m.lastHeard}
 	m.peers[address] = p
 	m.ended.Go(func() { p.run(m.ctx) })
 	return p
@@ -121,12 +124,26 @@
 	m.addresses[id] = address
 }
 
+func (m *Messenger) hear(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[address] = time.Now()
+}
+
+// lastHeard returns when messages from an address last arrived; zero if never.
+func (m *Messenger) lastHeard(address string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heard[address]
+}
+
 func (m *Messenger) serveDeliver(stream grpc.ServerStream) error {
 	for {
 		var e envelope
 		if err := stream.RecvMsg(&e); err != nil {
 			return err
 		}
+		m.hear(e.Address)
 		for _, msg := range e.Messages {
 			m.learn(msg.From, e.Address)
 			m.receive(msg)
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -26,11 +26,20 @@
 	}
 }
 
+// silenceLimit is how long a peer may be silent, while messages are sent to it, before its connection is replaced: a
+// few heartbeats. A connection may stop working without an error, and then only its silence shows it.
+const silenceLimit = time.Second
+
 // peer sends to one address; its goroutine owns the connection.
 type peer struct {
 	address string
 	self    string
 	queue   chan []replicator.Message
+	heard   func(address string) time.Time
+
+	conn   *grpc.ClientConn
+	stream grpc.ClientStream
+	dialed time.Time
 }
 
 func (p *peer) enqueue(batch []replicator.Message) {
@@ -41,32 +50,53 @@
 }
 
 func (p *peer) run(ctx context.Context) {
-	conn, err := Dial(p.address)
-	if err != nil {
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	var stream grpc.ClientStream
+	defer p.hangUp()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case batch := <-p.queue:
-			stream = p.send(ctx, conn, stream, batch)
+			p.send(ctx, batch)
 		}
 	}
 }
 
-// send tries the open stream, opens one where there is none, and returns the stream to use next.
-func (p *peer) send(ctx context.Context, conn *grpc.ClientConn, stream grpc.ClientStream, batch []replicator.Message) grpc.ClientStream {
-	if stream == nil {
-		var err error
-		if stream, err = encoder.OpenStream(ctx, conn, "/"+serviceName+"/"+deliverMethod); err != nil {
-			return nil
+// send passes a batch on, on a new connection where there is none or the present one seems dead. What cannot be sent
+// is lost; the protocol sends it again.
+func (p *peer) send(ctx context.Context, batch []replicator.Message) {
+	if p.silent() {
+		p.hangUp()
+	}
+	if !p.connect(ctx) {
+		return
+	}
+	if err := p.stream.SendMsg(&envelope{Address: p.self, Messages: batch}); err != nil {
+		p.stream = nil
+	}
+}
+
+// silent reports whether nothing was heard from the peer for too long on a connection that had the time to work.
+func (p *peer) silent() bool {
+	return p.conn != nil && time.Since(p.dialed) > silenceLimit && time.Since(p.heard(p.address)) > silenceLimit
+}
+
+func (p *peer) connect(ctx context.Context) bool {
+	var err error
+	if p.conn == nil {
+		if p.conn, err = Dial(p.address); err != nil {
+			return false
 		}
+		p.dialed = time.Now()
 	}
-	if err := stream.SendMsg(&envelope{Address: p.self, Messages: batch}); err != nil {
-		return nil
+	if p.stream == nil {
+		p.stream, err = encoder.OpenStream(ctx, p.conn, "/"+serviceName+"/"+deliverMethod)
+	}
+	return err == nil
+}
+
+func (p *peer) hangUp() {
+	if p.conn != nil {
+		_ = p.conn.Close()
 	}
-	return stream
+	p.conn, p.stream = nil, nil
 }
