Judge slow runs against others like them

Change: a run is compared with tasks of its own step on other workers, else with finished runs of its queue. Tests: TestWrongEstimateIsNotSlowness fails on the version before; slow and stalled runs are still seen.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -130,6 +130,9 @@
 	c.meter.Count("runs_ended", "", worker, end.Kind.String())
 	switch end.Kind {
 	case tracker.EndDone:
+		if j, ok := c.machine.State().Job(end.Run.Task.Job); ok {
+			c.observer.finish(j.Queue, end.Run, c.clock.Now())
+		}
 		c.observer.judge(worker, true, c.clock.Now())
 	case tracker.EndFailed, tracker.EndUnbegun:
 		c.judgeBad(worker, end.Kind.String()+" run")
--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -14,11 +14,6 @@
 	stallTime timekeeper.Millis = 3000
 	// stallShare adds to stallTime for long tasks, of which one percent takes longer, as a share of the estimate.
 	stallShare = 0.05
-	// slowFactor is how many times its estimate a run may take, by its pace, before it counts as slow; declared
-	// estimates are off by half and more.
-	slowFactor = 3.5
-	// slowAfter is the time that a run's pace is watched before it is judged.
-	slowAfter timekeeper.Millis = 2500
 	// avoidTime is how long a worker is left out after it was found bad.
 	avoidTime timekeeper.Millis = 6000
 	// badRuns is the number of bad runs, with no good one between, after which a worker is avoided.
@@ -31,6 +26,7 @@
 type observed struct {
 	since      timekeeper.Millis // first seen in the state
 	percent    int
+	resumed    int               // the percentage when the runner first listed it
 	moved      timekeeper.Millis // when the percentage last rose
 	first      timekeeper.Millis // when the runner first listed it
 	checkpoint string
@@ -46,11 +42,15 @@
 	mu      sync.Mutex
 	runs    map[tracker.RunKey]*observed
 	workers map[string]*health
-	leaving map[string]timekeeper.Millis // by worker, when it may be gone
+	leaving map[string]timekeeper.Millis   // by worker, when it may be gone
+	times   map[string][]timekeeper.Millis // by queue, how long its last finished runs took
 }
 
 func newObserver() *observer {
-	return &observer{runs: map[tracker.RunKey]*observed{}, workers: map[string]*health{}, leaving: map[string]timekeeper.Millis{}}
+	return &observer{
+		runs: map[tracker.RunKey]*observed{}, workers: map[string]*health{}, leaving: map[string]timekeeper.Millis{},
+		times: map[string][]timekeeper.Millis{},
+	}
 }
 
 // see takes a worker's list of runs.
@@ -60,7 +60,7 @@
 	for _, r := range reports {
 		run := o.run(r.Run, now)
 		if run.first == 0 {
-			run.first, run.moved = now, now
+			run.first, run.moved, run.resumed = now, now, r.Percent
 		}
 		if r.Percent > run.percent {
 			run.percent, run.moved = r.Percent, now
@@ -139,12 +139,14 @@
 	defer o.mu.Unlock()
 	progress, leaving = map[tracker.RunKey]planner.Progress{}, map[string]timekeeper.Millis{}
 	kept := make(map[tracker.RunKey]*observed, len(o.runs))
+	var paces []pace
 	for _, w := range s.Workers() {
 		for _, r := range w.Runs {
 			run := o.run(r.Key, now)
 			kept[r.Key] = run
 			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping {
 				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
+				paces = append(paces, run.pace(r.Key, w.Name, j.Queue, now))
 			}
 		}
 		if at, ok := o.leaving[w.Name]; ok {
@@ -152,6 +154,13 @@
 		}
 	}
 	o.runs = kept
+	for _, p := range paces {
+		if p.slow(paces, o.usual(p.queue)) {
+			judged := progress[p.run]
+			judged.Slow = true
+			progress[p.run] = judged
+		}
+	}
 	return progress, o.avoided(s, now), leaving
 }
 
@@ -171,12 +180,6 @@
 	if r.first == 0 || step.LongRunning {
 		return p
 	}
-	patience := stallTime + timekeeper.Millis(stallShare*float64(step.Estimate))
-	p.Stalled = now-r.moved > patience
-	ran := now - r.first
-	if ran > slowAfter && r.percent > 0 {
-		whole := float64(ran) * 100 / float64(r.percent)
-		p.Slow = whole > slowFactor*float64(step.Estimate)
-	}
+	p.Stalled = now-r.moved > stallTime+timekeeper.Millis(stallShare*float64(step.Estimate))
 	return p
 }
--- /dev/null
+++ b/internal/coordinator/observer_test.go
@@ -0,0 +1,109 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// cluster is a tracker's state made by commands.
+type cluster struct {
+	t     *testing.T
+	state tracker.State
+	index uint64
+}
+
+func newCluster(t *testing.T, workers int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, state: tracker.New()}
+	c.apply(tracker.Command{Configure: &modeler.Configuration{
+		Version: 1, Services: []string{"planner"},
+		Queues: []modeler.Queue{{Name: "batch", Host: "h", Prefix: "/b/", Service: "planner", Priority: 2, MaxAttempts: 2, Stretch: 3, Target: 1000}},
+	}})
+	for i := range workers {
+		c.apply(tracker.Command{Attach: &tracker.Attach{
+			Worker: fmt.Sprintf("w%d", i), Life: tracker.Life{ID: fmt.Sprintf("i%d", i), Born: 1}, Process: "p",
+			Profile: tracker.Profile{Service: "planner", Labels: []string{"a", "r1"}, Capacity: modeler.Resources{MilliCores: 64000, MemoryMB: 128000, Accelerators: 8}},
+		}})
+	}
+	return c
+}
+
+func (c *cluster) apply(command tracker.Command) {
+	c.t.Helper()
+	c.index++
+	var answer tracker.Answer
+	c.state, answer = c.state.Apply(c.index, command)
+	if answer.Code != tracker.Accepted {
+		c.t.Fatalf("command %d: code %d", c.index, answer.Code)
+	}
+}
+
+// runJob submits a job of equal tasks and assigns one task to each worker.
+func (c *cluster) runJob(id modeler.JobID, tasks int, estimate timekeeper.Millis) []tracker.RunKey {
+	c.t.Helper()
+	c.apply(tracker.Command{Submit: &modeler.Job{ID: id, Queue: "batch", Steps: []modeler.Step{{Count: tasks, Need: modeler.Resources{Accelerators: 1}, Estimate: estimate}}}})
+	var keys []tracker.RunKey
+	var starts []tracker.Start
+	for i := range tasks {
+		key := tracker.RunKey{Task: tracker.TaskKey{Job: id, Index: i}, Attempt: 1}
+		keys = append(keys, key)
+		starts = append(starts, tracker.Start{Run: key, Worker: fmt.Sprintf("w%d", i), Epoch: 1})
+	}
+	c.apply(tracker.Command{Assign: &tracker.Assign{Starts: starts}})
+	return keys
+}
+
+// watchRuns reports percentages that rise at a pace of one task a number of milliseconds, until the time.
+func watchRuns(o *observer, s tracker.State, wholes map[tracker.RunKey]timekeeper.Millis, until timekeeper.Millis) {
+	for now := timekeeper.Millis(1); now <= until; now += 500 {
+		for key, whole := range wholes {
+			o.see(now, []RunReport{{Run: key, Percent: int(now * 100 / whole)}})
+		}
+		o.input(s, now)
+	}
+}
+
+// TestWrongEstimateIsNotSlowness runs tasks that take ten times what was declared; none is slow against the others.
+func TestWrongEstimateIsNotSlowness(t *testing.T) {
+	c := newCluster(t, 4)
+	keys := c.runJob("a", 4, 900)
+	o := newObserver()
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 8000, keys[2]: 10000, keys[3]: 12000}, 6000)
+	progress, _, _ := o.input(c.state, 6000)
+	for _, key := range keys {
+		if progress[key].Slow || progress[key].Stalled {
+			t.Errorf("%v is judged as bad: %+v", key, progress[key])
+		}
+	}
+}
+
+// TestSlowRunIsSeenAgainstItsPeers has one worker that takes seven times as long as the others.
+func TestSlowRunIsSeenAgainstItsPeers(t *testing.T) {
+	c := newCluster(t, 4)
+	keys := c.runJob("a", 4, 900)
+	o := newObserver()
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 8000, keys[2]: 10000, keys[3]: 60000}, 6000)
+	progress, _, _ := o.input(c.state, 6000)
+	if !progress[keys[3]].Slow {
+		t.Errorf("the slow run is not seen: %+v", progress[keys[3]])
+	}
+	if progress[keys[0]].Slow {
+		t.Errorf("a run at the usual pace is judged as slow: %+v", progress[keys[0]])
+	}
+}
+
+// TestStalledRunIsSeen has a run whose percentage stands still.
+func TestStalledRunIsSeen(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 2, 5000)
+	o := newObserver()
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 10_000_000}, 6000)
+	progress, _, _ := o.input(c.state, 6000)
+	if progress[keys[0]].Stalled || !progress[keys[1]].Stalled {
+		t.Errorf("stalled: %v and %v, want false and true", progress[keys[0]].Stalled, progress[keys[1]].Stalled)
+	}
+}
--- /dev/null
+++ b/internal/coordinator/pace.go
@@ -0,0 +1,94 @@
+package coordinator
+
+import (
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+const (
+	// slowAfter is the time that a run's pace is watched before it is judged.
+	slowAfter timekeeper.Millis = 2500
+	// slowAgainstPeers is how many times as long as the other tasks of its step a task may take: these differ by a
+	// third or so.
+	slowAgainstPeers = 2.5
+	// slowAgainstQueue is likewise for runs of the same queue, whose work differs more.
+	slowAgainstQueue = 4.5
+	// fewestPeers is the number of others that a comparison needs.
+	fewestPeers = 2
+	// keptTimes is the number of finished runs of a queue that are remembered.
+	keptTimes = 32
+)
+
+// pace is how long a run would take as a whole, by what it has done so far; zero where that is not known.
+//
+// Declared estimates say nothing here: they are off by ten times. A run is judged by others that are like it.
+type pace struct {
+	run    tracker.RunKey
+	worker string
+	queue  string
+	whole  timekeeper.Millis
+	left   timekeeper.Millis
+}
+
+func (r *observed) pace(key tracker.RunKey, worker, queue string, now timekeeper.Millis) pace {
+	p := pace{run: key, worker: worker, queue: queue}
+	if ran := now - r.first; r.first > 0 && r.percent > r.resumed && ran > slowAfter {
+		p.whole = ran * 100 / timekeeper.Millis(r.percent-r.resumed)
+		p.left = p.whole * timekeeper.Millis(100-r.percent) / 100
+	}
+	return p
+}
+
+// slow reports whether the run is so far behind others like it that it is better begun elsewhere.
+func (p pace) slow(all []pace, usual timekeeper.Millis) bool {
+	if p.whole == 0 {
+		return false
+	}
+	if peers := p.peers(all); len(peers) >= fewestPeers {
+		typical := median(peers)
+		return p.left > typical && float64(p.whole) > slowAgainstPeers*float64(typical)
+	}
+	return usual > 0 && p.left > usual && float64(p.whole) > slowAgainstQueue*float64(usual)
+}
+
+// peers returns the paces of tasks of the same step on other workers.
+func (p pace) peers(all []pace) []timekeeper.Millis {
+	var list []timekeeper.Millis
+	for _, o := range all {
+		same := o.run.Task.Job == p.run.Task.Job && o.run.Task.Step == p.run.Task.Step
+		if same && o.worker != p.worker && o.whole > 0 {
+			list = append(list, o.whole)
+		}
+	}
+	return list
+}
+
+func median(list []timekeeper.Millis) timekeeper.Millis {
+	sorted := slices.Sorted(slices.Values(list))
+	return sorted[len(sorted)/2]
+}
+
+// finish remembers how long a finished run took.
+func (o *observer) finish(queue string, key tracker.RunKey, now timekeeper.Millis) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	run := o.runs[key]
+	if run == nil || run.first == 0 || run.resumed > 0 {
+		return
+	}
+	list := append(o.times[queue], now-run.first)
+	if len(list) > keptTimes {
+		list = list[1:]
+	}
+	o.times[queue] = list
+}
+
+// usual returns how long a run of a queue usually takes, or zero where too little is known; the caller holds mu.
+func (o *observer) usual(queue string) timekeeper.Millis {
+	if len(o.times[queue]) < fewestPeers {
+		return 0
+	}
+	return median(o.times[queue])
+}
