--- a/internal/modeler/configuration.go
+++ b/internal/modeler/configuration.go
@@ -24,9 +24,9 @@
 	Advised     bool              `cbor:"10,keyasint,omitempty"` // placements need the placement advisor's consent
 }
 
-// Objective returns the time since submission within which a job is finished on time.
-func (q Queue) Objective(j Job) timekeeper.Millis {
-	return timekeeper.Millis(q.Stretch*float64(j.Chain())) + q.Target
+// Objective returns the time since submission within which a job is finished on time; chain is that of the job.
+func (q Queue) Objective(chain timekeeper.Millis) timekeeper.Millis {
+	return timekeeper.Millis(q.Stretch*float64(chain)) + q.Target
 }
 
 // Workspace is a tenant with its keys and its guarantee.
--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -95,20 +95,33 @@
 	return total
 }
 
-// Chain returns the longest chain of estimates through the job's dependencies.
-func (j Job) Chain() timekeeper.Millis {
+// Chain returns the longest chain of estimates through the job's dependencies, where room is what all workers have
+// together. A step that is wider than a share of the room counts as run in waves.
+func (j Job) Chain(room Resources) timekeeper.Millis {
 	ends := make([]timekeeper.Millis, len(j.Steps))
 	longest := timekeeper.Millis(0)
 	for i, s := range j.Steps {
 		for _, before := range s.After {
 			ends[i] = max(ends[i], ends[before])
 		}
-		ends[i] += s.Estimate
+		ends[i] += s.Estimate * timekeeper.Millis(s.Waves(room))
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// waveShare is the part of the room, as one in so many, that one step is expected to use at once.
+const waveShare = 4
+
+// Waves returns in how many waves the step's tasks run when they use their share of the room; a gang runs as one.
+func (s Step) Waves(room Resources) int {
+	if s.Gang {
+		return 1
+	}
+	atOnce := max(s.Need.CountIn(Resources{room.MilliCores / waveShare, room.MemoryMB / waveShare, room.Accelerators / waveShare}, s.Count), 1)
+	return (s.Count + atOnce - 1) / atOnce
+}
+
 // Accelerators returns what all steps of the job need together, as guarantees count it.
 func (j Job) Accelerators() int {
 	n := 0
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -87,11 +87,18 @@
 	if step.Checkpointing {
 		unsaved = min(unsaved, restoreCost)
 	}
-	return run.Need.Weight() * int(unsaved)
+	times := 1 + int(unsavedPerAttempt*float64(run.Key.Attempt-1))
+	return run.Need.Weight() * int(unsaved+stopCost) * times
 }
 
-// restoreCost is the time that a stop and a resumption from a checkpoint take from a run, in milliseconds.
-const restoreCost timekeeper.Millis = 1000
+const (
+	// restoreCost is the time that a stop and a resumption from a checkpoint take from a run.
+	restoreCost timekeeper.Millis = 1000
+	// stopCost is the time that any stop takes from a worker.
+	stopCost timekeeper.Millis = 400
+	// unsavedPerAttempt makes a run that was stopped before dearer to stop again, so that it ends some day.
+	unsavedPerAttempt = 1.0
+)
 
 // remaining estimates how long a run still takes.
 func (b *board) remaining(key tracker.RunKey) timekeeper.Millis {
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -8,12 +8,13 @@
 // demand is a number of equal tasks of one step that want a place.
 type demand struct {
 	candidate
-	step  int
-	tasks []tracker.TaskKey
+	step     int
+	tasks    []tracker.TaskKey
+	promised int // tasks of the step for which this plan has started or kept room already
 }
 
 func newDemand(c candidate, step int, tasks []tracker.TaskKey) demand {
-	return demand{c, step, tasks}
+	return demand{candidate: c, step: step, tasks: tasks}
 }
 
 func (d demand) withTasks(tasks []tracker.TaskKey) demand {
@@ -32,6 +33,44 @@
 	return d.job.Tasks[key.Step][key.Index].Checkpoint
 }
 
+// assigned returns the number of the step's tasks that hold room, those of this plan included.
+func (d demand) assigned() int {
+	n := d.promised
+	for _, t := range d.job.Tasks[d.step] {
+		if t.Phase == tracker.TaskAssigned {
+			n++
+		}
+	}
+	return n
+}
+
+// work returns the weight of the tasks times their estimate, in thousandths of a core times milliseconds.
+func (d demand) work() int { return len(d.tasks) * d.spec().Need.Weight() * int(d.spec().Estimate) }
+
+// atOnce returns how many tasks of the step are expected to run at once.
+func (d demand) atOnce() int {
+	waves := d.spec().Waves(d.room)
+	return (d.spec().Count + waves - 1) / waves
+}
+
+// urgentShare is how many times its expected share of the room an urgent step may hold at once. Urgent runs are not
+// stopped for others, so that a wide step would keep them all waiting.
+const urgentShare = 2
+
+// holdsEnough reports whether the step must not begin more tasks now, although there may be room.
+func (d demand) holdsEnough() bool {
+	return d.rank == rankUrgent && !d.spec().Gang && d.assigned() >= urgentShare*d.atOnce()
+}
+
+// lowestVictim returns the rank above which runs may be stopped for the demand. Urgent runs are stopped only for what
+// a guarantee covers.
+func (d demand) lowestVictim() int {
+	if d.rank == rankGuaranteed {
+		return rankGuaranteed
+	}
+	return rankBatch - 1
+}
+
 // shuns reports whether the last failed run of one of the tasks was on the worker.
 func (d demand) shuns(worker string) bool {
 	for _, key := range d.tasks {
--- /dev/null
+++ b/internal/planner/main_test.go
@@ -0,0 +1,13 @@
+package planner
+
+import (
+	"os"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Fix(1, 150)
+	os.Exit(m.Run())
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -74,6 +74,10 @@
 func (b *board) planSingles(plan *tracker.Assign, d demand) {
 	for i, key := range d.tasks {
 		one := d.withTasks(d.tasks[i : i+1])
+		one.promised = i
+		if one.holdsEnough() {
+			return
+		}
 		p, ok := b.placeFree(one)
 		if !ok {
 			b.makeRoomForRest(plan, d, i)
@@ -86,7 +90,9 @@
 
 func (b *board) makeRoomForRest(plan *tracker.Assign, d demand, from int) {
 	for i := from; i < len(d.tasks); i++ {
-		if !b.makeRoom(plan, d.withTasks(d.tasks[i:i+1])) {
+		one := d.withTasks(d.tasks[i : i+1])
+		one.promised = i
+		if !b.makeRoom(plan, one) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,154 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+func gang(count, accelerators int, estimate timekeeper.Millis) modeler.Step {
+	s := tasks(count, accelerators, estimate)
+	s.Gang, s.OneRack = true, true
+	return s
+}
+
+func tasks(count, accelerators int, estimate timekeeper.Millis) modeler.Step {
+	return modeler.Step{
+		Count: count, Estimate: estimate,
+		Need: modeler.Resources{MilliCores: 1000 * accelerators, MemoryMB: 4000, Accelerators: accelerators},
+	}
+}
+
+// TestDecisionsKeepTheRules plays random jobs on random clusters that lose and gain workers; play checks every plan.
+func TestDecisionsKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPlay(t, Plan, 7)
+		n := 0
+		p.run(6000, func(now timekeeper.Millis) {
+			if rapid.IntRange(0, 5).Draw(rt, "arrival") == 0 {
+				n++
+				submitRandom(rt, p, n)
+			}
+			if rapid.IntRange(0, 40).Draw(rt, "trouble") == 0 {
+				disturb(rt, p)
+			}
+		})
+	})
+}
+
+func submitRandom(rt *rapid.T, p *play, n int) {
+	queue := rapid.SampledFrom([]string{"urgent", "plans", "checks"}).Draw(rt, "queue")
+	workspace := rapid.SampledFrom([]string{"sure", "other"}).Draw(rt, "workspace")
+	steps := make([]modeler.Step, rapid.IntRange(1, 3).Draw(rt, "steps"))
+	for i := range steps {
+		steps[i] = tasks(rapid.IntRange(1, 9).Draw(rt, "count"), rapid.IntRange(0, 8).Draw(rt, "accelerators"), 1000)
+		steps[i].Gang = rapid.Bool().Draw(rt, "gang")
+		steps[i].OneRack = steps[i].Gang && rapid.Bool().Draw(rt, "one-rack")
+		steps[i].Label = rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "label")
+		steps[i].MaxPerWorker = rapid.IntRange(0, 2).Draw(rt, "spread")
+		if i > 0 && rapid.Bool().Draw(rt, "after") {
+			steps[i].After = []int{i - 1}
+		}
+	}
+	truth := timekeeper.Millis(rapid.IntRange(100, 3000).Draw(rt, "truth"))
+	p.submit(fmt.Sprintf("j%03d", n), queue, workspace, truth, steps...)
+}
+
+func disturb(rt *rapid.T, p *play) {
+	i := rapid.IntRange(0, 6).Draw(rt, "worker")
+	w, _ := p.state.Worker(workerName(i))
+	switch rapid.IntRange(0, 2).Draw(rt, "kind") {
+	case 0:
+		p.apply(tracker.Command{Detach: &tracker.Detach{Worker: w.Name, Epoch: w.Epoch}})
+	case 1:
+		p.apply(tracker.Command{Drain: &tracker.Drain{Worker: w.Name, Epoch: w.Epoch}})
+	default:
+		p.apply(tracker.Command{Detach: &tracker.Detach{Worker: w.Name, Epoch: w.Epoch}})
+		p.attach(i)
+	}
+}
+
+// fillWith keeps the whole cluster busy with work of a queue.
+func fillWith(p *play, queue string, count int) {
+	for i := range count {
+		p.submit(fmt.Sprintf("fill-%s-%02d", queue, i), queue, "other", 9000, tasks(8, 1, 8000))
+	}
+}
+
+// TestGuaranteeIsReclaimed hands in an urgent gang of one rack, within the guarantee, while batch work fills
+// everything; it begins whole within the time that a stop takes and a few decisions.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	p := newPlay(t, Plan, 11)
+	fillWith(p, "checks", 11)
+	p.run(2000, nil)
+	p.submit("rebuild", "urgent", "sure", 2500, gang(3, 8, 2500))
+	submitted := p.now
+	p.run(submitted+2*stopTime+4*tick, nil)
+	if _, begun := p.first["rebuild"]; !begun {
+		t.Fatalf("the gang has not begun after %v", p.now-submitted)
+	}
+}
+
+// TestWideUrgentStepLeavesOthersOnTime has one urgent job of 120 accelerators, which may run in waves, and small
+// urgent jobs behind it. It fails where the wide one counts as due first and stops everything.
+func TestWideUrgentStepLeavesOthersOnTime(t *testing.T) {
+	p := newPlay(t, Plan, 11)
+	p.submit("wide", "urgent", "other", 4000, tasks(15, 8, 4000))
+	n := 0
+	p.run(12_000, func(now timekeeper.Millis) {
+		if now%500 == 0 && now > 0 && now <= 6000 {
+			n++
+			p.submit(fmt.Sprintf("small-%02d", n), "urgent", "other", 2000, tasks(2, 4, 2000))
+		}
+	})
+	late := 0
+	for i := 1; i <= n; i++ {
+		id := modeler.JobID(fmt.Sprintf("small-%02d", i))
+		j, _ := p.state.Job(id)
+		if at, done := p.done[id]; !done || at-j.Submitted > 3250+tick {
+			late++
+		}
+	}
+	if late > n/10 {
+		t.Errorf("%d of %d small urgent jobs are late behind a wide one", late, n)
+	}
+}
+
+// TestStoppedWorkEndsSomeDay has urgent jobs come all the time beside batch work; every batch task ends all the same.
+func TestStoppedWorkEndsSomeDay(t *testing.T) {
+	p := newPlay(t, Plan, 4)
+	for i := range 4 {
+		p.submit(fmt.Sprintf("check-%d", i), "checks", "other", 3000, tasks(6, 1, 3000))
+	}
+	n := 0
+	p.run(40_000, func(now timekeeper.Millis) {
+		if now%1500 == 0 {
+			n++
+			p.submit(fmt.Sprintf("u%03d", n), "urgent", "sure", 800, tasks(2, 4, 800))
+		}
+	})
+	for i := range 4 {
+		if _, done := p.done[modeler.JobID(fmt.Sprintf("check-%d", i))]; !done {
+			t.Errorf("check-%d has not ended beside urgent work that leaves half of the room", i)
+		}
+	}
+}
+
+// TestRunsWithoutProgressMove takes back a run that stands still and begins it elsewhere.
+func TestRunsWithoutProgressMove(t *testing.T) {
+	p := newPlay(t, Plan, 2)
+	p.submit("a", "plans", "other", 1_000_000, tasks(1, 8, 2000))
+	p.run(tick, nil)
+	key := tracker.RunKey{Task: tracker.TaskKey{Job: "a"}, Attempt: 1}
+	in := p.input()
+	in.Progress[key] = Progress{Stalled: true, Running: 5000}
+	plan := Plan(in)
+	if len(plan.Stops) != 1 || plan.Stops[0] != key {
+		t.Fatalf("stops %v, want %v", plan.Stops, key)
+	}
+}
--- /dev/null
+++ b/internal/planner/play_test.go
@@ -0,0 +1,213 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+const (
+	tick     timekeeper.Millis = 50
+	stopTime timekeeper.Millis = 400 // what a runner takes to stop a run, at most
+)
+
+// play drives the tracker with a policy and workers that take the true time of each task.
+type play struct {
+	t      testing.TB
+	policy func(Input) tracker.Assign
+	state  tracker.State
+	index  uint64
+	now    timekeeper.Millis
+	truth  map[modeler.JobID]timekeeper.Millis // how long each task of a job really takes
+	begun  map[tracker.RunKey]timekeeper.Millis
+	stops  map[tracker.RunKey]timekeeper.Millis // when an ordered stop is carried out
+	first  map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step had begun
+	done   map[modeler.JobID]timekeeper.Millis
+	lost   int // core-milliseconds, in thousandths, of runs that were stopped
+}
+
+func newPlay(t testing.TB, policy func(Input) tracker.Assign, workers int) *play {
+	p := &play{
+		t: t, policy: policy, state: tracker.New(), truth: map[modeler.JobID]timekeeper.Millis{},
+		begun: map[tracker.RunKey]timekeeper.Millis{}, stops: map[tracker.RunKey]timekeeper.Millis{},
+		first: map[modeler.JobID]timekeeper.Millis{}, done: map[modeler.JobID]timekeeper.Millis{},
+	}
+	p.apply(tracker.Command{Configure: &modeler.Configuration{
+		Version: 1, Services: []string{"app"},
+		Queues: []modeler.Queue{
+			{Name: "urgent", Host: "h", Prefix: "/u/", Service: "app", Priority: 0, MaxAttempts: 2, Stretch: 1.5, Target: 250},
+			{Name: "plans", Host: "h", Prefix: "/p/", Service: "app", Priority: 1, MaxAttempts: 4, Stretch: 3, Target: 1000},
+			{Name: "checks", Host: "h", Prefix: "/c/", Service: "app", Priority: 2, MaxAttempts: 2, Stretch: 3, Target: 3000},
+		},
+		Workspaces: []modeler.Workspace{{Name: "sure", Keys: []string{"k"}, Accelerators: 24}, {Name: "other", Keys: []string{"l"}}},
+	}})
+	for i := range workers {
+		p.attach(i)
+	}
+	return p
+}
+
+func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
+
+// attach adds a worker of 32 cores, 128 GB and 8 accelerators; three share a rack.
+func (p *play) attach(i int) {
+	p.apply(tracker.Command{Attach: &tracker.Attach{
+		Worker: workerName(i), Life: tracker.Life{ID: workerName(i), Born: int64(p.now) + 1}, Process: fmt.Sprint(p.now),
+		Profile: tracker.Profile{
+			Service: "app", Labels: []string{string(rune('a' + i%2)), fmt.Sprintf("r%d", i/3)},
+			Capacity: modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8},
+		},
+	}})
+}
+
+func (p *play) apply(c tracker.Command) tracker.Answer {
+	p.index++
+	var answer tracker.Answer
+	p.state, answer = p.state.Apply(p.index, c)
+	return answer
+}
+
+// submit hands a job in whose tasks take truth each; the declared estimate is as the steps say.
+func (p *play) submit(id, queue, workspace string, truth timekeeper.Millis, steps ...modeler.Step) {
+	p.truth[modeler.JobID(id)] = truth
+	p.apply(tracker.Command{Submit: &modeler.Job{ID: modeler.JobID(id), Queue: queue, Workspace: workspace, Steps: steps, Submitted: p.now}})
+}
+
+// run plays until a time; arrive is called before each step.
+func (p *play) run(until timekeeper.Millis, arrive func(now timekeeper.Millis)) {
+	for ; p.now < until; p.now += tick {
+		if arrive != nil {
+			arrive(p.now)
+		}
+		p.finishRuns()
+		before := p.state
+		plan := p.policy(p.input())
+		p.checkPlan(before, plan)
+		p.apply(tracker.Command{Assign: &plan})
+		p.noteRuns()
+	}
+}
+
+func (p *play) input() Input {
+	in := Input{State: p.state, Now: p.now, Progress: map[tracker.RunKey]Progress{}}
+	for key, at := range p.begun {
+		in.Progress[key] = Progress{Running: p.now - at, Percent: int((p.now - at) * 100 / p.truth[key.Task.Job])}
+	}
+	return in
+}
+
+func (p *play) finishRuns() {
+	for _, w := range p.state.Workers() {
+		var ends []tracker.End
+		for _, r := range w.Runs {
+			if kind := p.ended(r); kind != 0 {
+				ends = append(ends, tracker.End{Run: r.Key, Kind: kind})
+				delete(p.begun, r.Key)
+			}
+		}
+		if len(ends) > 0 {
+			p.apply(tracker.Command{Report: &tracker.Report{Worker: w.Name, Epoch: w.Epoch, Ends: ends, At: p.now}})
+		}
+	}
+	p.state.Jobs(func(j tracker.Job) {
+		if _, seen := p.done[j.ID]; !seen && j.Phase == tracker.JobDone {
+			p.done[j.ID] = p.now
+		}
+	})
+}
+
+func (p *play) ended(r tracker.Run) tracker.EndKind {
+	at, running := p.begun[r.Key]
+	if running && p.now-at >= p.truth[r.Key.Task.Job] {
+		return tracker.EndDone
+	}
+	if !r.Stopping {
+		return 0
+	}
+	if _, ordered := p.stops[r.Key]; !ordered {
+		p.stops[r.Key] = p.now + stopTime
+	}
+	if p.now < p.stops[r.Key] {
+		return 0
+	}
+	p.lost += r.Need.Weight() * int(p.now-at)
+	return tracker.EndStopped
+}
+
+func (p *play) noteRuns() {
+	for _, w := range p.state.Workers() {
+		if !w.Used().Fits(w.Profile.Capacity) {
+			p.t.Fatalf("%s holds %+v of %+v", w.Name, w.Used(), w.Profile.Capacity)
+		}
+		for _, r := range w.Runs {
+			if _, known := p.begun[r.Key]; !known {
+				p.begun[r.Key] = p.now
+			}
+		}
+	}
+	p.state.Jobs(func(j tracker.Job) {
+		waiting := slices.ContainsFunc(j.Tasks[0], func(t tracker.Task) bool { return t.Phase == tracker.TaskWaiting })
+		if _, seen := p.first[j.ID]; !seen && !waiting {
+			p.first[j.ID] = p.now
+		}
+	})
+}
+
+// checkPlan checks what must hold of every decision, from the state it was made on.
+func (p *play) checkPlan(s tracker.State, plan tracker.Assign) {
+	p.t.Helper()
+	spread := map[stepKey]map[string]int{}
+	gangs := map[stepKey]map[int]int{}
+	for _, start := range plan.Starts {
+		key := start.Run.Task
+		j, _ := s.Job(key.Job)
+		step := j.Steps[key.Step]
+		task, _ := j.Task(key)
+		w, _ := s.Worker(start.Worker)
+		group := stepKey{key.Job, key.Step}
+		switch {
+		case task.Phase != tracker.TaskWaiting || start.Run.Attempt <= task.Attempt:
+			p.t.Fatalf("%v is started, its task is %+v", start.Run, task)
+		case !j.StepReady(key.Step):
+			p.t.Fatalf("%v is started before the steps that it waits for are done", start.Run)
+		case !hasLabel(w, step.Label):
+			p.t.Fatalf("%v is started on %s, which lacks label %q", start.Run, w.Name, step.Label)
+		}
+		if spread[group] == nil {
+			spread[group], gangs[group] = map[string]int{}, map[int]int{}
+		}
+		spread[group][w.Name]++
+		gangs[group][start.Run.Attempt]++
+		if step.MaxPerWorker > 0 && spread[group][w.Name]+heldOf(w, group) > step.MaxPerWorker {
+			p.t.Fatalf("%v is one too many of its step on %s", start.Run, w.Name)
+		}
+	}
+	for group, attempts := range gangs {
+		j, _ := s.Job(group.job)
+		if step := j.Steps[group.step]; step.Gang && (len(attempts) != 1 || spreadSum(spread[group]) != step.Count) {
+			p.t.Fatalf("the gang %v is started with %v of %d members", group, attempts, step.Count)
+		}
+	}
+}
+
+func heldOf(w tracker.Worker, group stepKey) int {
+	n := 0
+	for _, r := range w.Runs {
+		if r.Key.Task.Job == group.job && r.Key.Task.Step == group.step {
+			n++
+		}
+	}
+	return n
+}
+
+func spreadSum(counts map[string]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -4,15 +4,12 @@
 	"slices"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
-	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
 
-// patience is the share of its objective that a job which is not urgent waits before it stops work of a lower rank.
-const patience = 0.3
-
-// makeRoom keeps room that is being freed for a demand, and orders stops where that is not enough. It reports
-// whether the demand will get its place.
+// makeRoom keeps room that is being freed for a demand, and orders stops where that is not enough. Beyond a guarantee
+// it stops others only if that throws no more work away than the demand itself is: on a full day, urgent jobs would
+// else cost more than they bring. It reports whether the demand will get its place.
 func (b *board) makeRoom(plan *tracker.Assign, d demand) bool {
 	if !b.mayPreempt(d) {
 		return false
@@ -21,48 +18,43 @@
 		b.promise(p)
 		return true
 	}
-	p, victims, ok := b.cheapest(d)
-	if !ok {
+	found := b.cheapest(d)
+	if found == nil || d.rank != rankGuaranteed && found.cost > d.work() {
 		return false
 	}
-	for _, v := range victims {
+	for _, v := range found.victims {
 		b.stop(plan, v)
 	}
-	b.promise(p)
+	b.promise(found.placed)
 	return true
 }
 
+// mayPreempt reports whether other work is stopped for a demand: for urgent jobs that can still meet their objective,
+// and of one step only for as many tasks as it is expected to run at once.
 func (b *board) mayPreempt(d demand) bool {
-	if d.rank <= rankUrgent {
+	if d.rank == rankGuaranteed {
 		return true
 	}
-	objective := d.due - d.job.Submitted
-	return d.rank < rankLate && b.in.Now-d.job.Submitted > timekeeper.Millis(patience*float64(objective))
+	return d.rank == rankUrgent && (d.spec().Gang || d.assigned()+len(d.tasks) <= d.atOnce())
 }
 
-// cheapest finds the place for which least work is lost, and the runs to stop for it.
-func (b *board) cheapest(d demand) (placement, []tracker.RunKey, bool) {
+// cheapest finds the place for which least work is lost, with the runs to stop for it; nil if there is none.
+func (b *board) cheapest(d demand) *search {
 	rooms := b.allowed(d)
-	if !d.spec().Gang || !d.spec().OneRack {
-		s := b.newSearch(d, rooms)
-		ok := s.run()
-		return s.placed, s.victims, ok
-	}
-	racks := byRack(rooms)
-	if !anyRackHolds(d, racks) {
-		racks = [][]*room{rooms}
+	groups := [][]*room{rooms}
+	if d.spec().Gang && d.spec().OneRack {
+		if racks := byRack(rooms); anyRackHolds(d, racks) {
+			groups = racks
+		}
 	}
 	var best *search
-	for _, rack := range racks {
-		s := b.newSearch(d, rack)
+	for _, group := range groups {
+		s := b.newSearch(d, group)
 		if s.run() && (best == nil || s.cost < best.cost) {
 			best = s
 		}
 	}
-	if best == nil {
-		return nil, nil, false
-	}
-	return best.placed, best.victims, true
+	return best
 }
 
 // search places the tasks of a demand one after the other, each where it costs least.
@@ -163,7 +155,7 @@
 func (s *search) candidates(r *room) []placedRun {
 	var list []placedRun
 	for _, v := range s.board.runs {
-		if v.room == r && v.rank > s.demand.rank && !v.fixed && !s.stopped[v.run.Key] {
+		if v.room == r && v.rank > s.demand.lowestVictim() && !v.fixed && !s.stopped[v.run.Key] {
 			list = append(list, v)
 		}
 	}
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -9,16 +9,23 @@
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
 
-// The ranks of jobs; a lower one goes first. Priorities beyond zero follow rankUrgent in steps of one.
+// The ranks of jobs; a lower one goes first. Jobs of a priority p beyond zero have the rank p times rankBatch, or half a
+// step more once their objective cannot be met any more.
 const (
-	rankGuaranteed = iota // urgent, and the workspace's guarantee covers all its urgent jobs
-	rankUrgent            // urgent beyond the guarantee
-	// rankLate is added to the rank of a job that cannot earn any more: it runs on what others leave.
-	rankLate = 1000
+	rankGuaranteed = 0 // urgent, and the workspace's guarantee covers all its urgent jobs
+	rankUrgent     = 1 // urgent beyond the guarantee
+	rankOverdue    = 2 // urgent, and too late for its objective
+	rankBatch      = 10
+	// rankWorthless is added to the rank of a job that is worth nothing to its caller any more.
+	rankWorthless = 1000
 )
 
-// lateObjectives is the number of objectives after which a finished job is worth nothing to its caller.
-const lateObjectives = 3
+const (
+	// lateObjectives is the number of objectives after which a finished job is worth nothing to its caller.
+	lateObjectives = 3
+	// optimism is the share of a declared chain that is taken as surely needed; estimates are often too long.
+	optimism = 0.5
+)
 
 // candidate is an unfinished job with its place in the order.
 type candidate struct {
@@ -26,25 +33,27 @@
 	queue modeler.Queue
 	rank  int
 	due   timekeeper.Millis // when the objective passes, since the Unix epoch
+	room  modeler.Resources // what all workers of the queue's service have together
 }
 
-// rank returns the unfinished jobs whose queue is known, in the order in which they are served.
+// rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by the
+// time at which the objective passes.
 func rank(in Input) []candidate {
 	owed := urgentAccelerators(in.State)
+	rooms := map[string]modeler.Resources{}
 	var ranked []candidate
 	for _, j := range in.State.Open() {
 		q, ok := in.State.Configuration.Queue(j.Queue)
 		if !ok {
 			continue
 		}
-		c := candidate{job: j, queue: q, rank: q.Priority + rankUrgent, due: j.Submitted + q.Objective(j.Job)}
-		w, _ := in.State.Configuration.Workspace(j.Workspace)
-		if q.Priority == 0 && owed[j.Workspace] <= w.Accelerators {
-			c.rank = rankGuaranteed
-		}
-		if c.late(in.Now) && c.rank > rankUrgent {
-			c.rank += rankLate
+		if _, known := rooms[q.Service]; !known {
+			rooms[q.Service] = in.State.Room(q.Service)
 		}
+		c := candidate{job: j, queue: q, room: rooms[q.Service]}
+		c.due = j.Submitted + q.Objective(j.Chain(c.room))
+		w, _ := in.State.Configuration.Workspace(j.Workspace)
+		c.rank = c.rankAt(in.Now, owed[j.Workspace] <= w.Accelerators)
 		ranked = append(ranked, c)
 	}
 	slices.SortStableFunc(ranked, func(a, b candidate) int {
@@ -53,10 +62,23 @@
 	return ranked
 }
 
-// late reports whether too little time is left for the job to be worth anything.
-func (c candidate) late(now timekeeper.Millis) bool {
+func (c candidate) rankAt(now timekeeper.Millis, guaranteed bool) int {
+	urgent := c.queue.Priority == 0
 	objective := c.due - c.job.Submitted
-	return now > c.job.Submitted+lateObjectives*objective
+	missed := now+timekeeper.Millis(optimism*float64(c.job.Chain(c.room))) > c.due && c.job.Phase == tracker.JobQueued
+	switch {
+	case urgent && guaranteed:
+		return rankGuaranteed
+	case urgent && missed:
+		return rankOverdue
+	case urgent:
+		return rankUrgent
+	case now > c.job.Submitted+lateObjectives*objective:
+		return rankWorthless + c.queue.Priority*rankBatch
+	case missed:
+		return c.queue.Priority*rankBatch + rankBatch/2
+	}
+	return c.queue.Priority * rankBatch
 }
 
 // urgentAccelerators returns what each workspace's unfinished urgent jobs need in all.
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -72,6 +72,18 @@
 	return workers
 }
 
+// Room returns what the workers of a service have together, those that are gone left out.
+func (s State) Room(service string) modeler.Resources {
+	var sum modeler.Resources
+	for it := s.workers.Iterator(); !it.Done(); {
+		_, w, _ := it.Next()
+		if !w.Gone && w.Profile.Service == service {
+			sum = sum.Plus(w.Profile.Capacity)
+		}
+	}
+	return sum
+}
+
 func (s *State) putJob(j Job) {
 	s.jobs = s.jobs.Set(j.ID, j)
 	if j.Phase.Ended() {
