--- /dev/null
+++ b/internal/tracker/main_test.go
@@ -0,0 +1,13 @@
+package tracker
+
+import (
+	"os"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Fix(1, 300)
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,300 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+)
+
+// history applies commands and remembers what must hold over time.
+type history struct {
+	fatalf func(format string, args ...any)
+	state  State
+	index  uint64
+	starts map[TaskKey]int // highest attempt ever assigned
+	done   map[TaskKey]bool
+}
+
+func newHistory(fatalf func(string, ...any)) *history {
+	h := &history{fatalf: fatalf, state: New(), starts: map[TaskKey]int{}, done: map[TaskKey]bool{}}
+	h.apply(Command{Configure: &modeler.Configuration{
+		Version: 1, Services: []string{"app"},
+		Queues: []modeler.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "app", MaxAttempts: 2}},
+	}})
+	return h
+}
+
+func (h *history) apply(c Command) Answer {
+	h.index++
+	before := h.state
+	var answer Answer
+	h.state, answer = before.Apply(h.index, c)
+	h.check()
+	return answer
+}
+
+func (h *history) attach(worker string, life Life, process string) uint64 {
+	return h.apply(Command{Attach: &Attach{
+		Worker: worker, Life: life, Process: process,
+		Profile: Profile{Service: "app", Labels: []string{"a", "r1"}, Capacity: modeler.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 4}},
+	}}).Epoch
+}
+
+// check states the invariants of the package.
+func (h *history) check() {
+	runs := map[TaskKey]int{}
+	for _, w := range h.state.Workers() {
+		if !w.Used().Fits(w.Profile.Capacity) {
+			h.fatalf("worker %s holds %+v", w.Name, w.Used())
+		}
+		if w.Gone && len(w.Runs) > 0 {
+			h.fatalf("worker %s is gone and holds runs", w.Name)
+		}
+		for _, r := range w.Runs {
+			runs[r.Key.Task]++
+			if runs[r.Key.Task] > 1 {
+				h.fatalf("task %v has two runs", r.Key.Task)
+			}
+			h.checkRun(r)
+		}
+	}
+	for key := range h.done {
+		if j, ok := h.state.Job(key.Job); ok {
+			if t, _ := j.Task(key); t.Phase != TaskDone {
+				h.fatalf("task %v was done and is %v now", key, t.Phase)
+			}
+		}
+	}
+	h.state.Jobs(func(j Job) {
+		for step, tasks := range j.Tasks {
+			for index, t := range tasks {
+				if t.Phase == TaskDone {
+					h.done[TaskKey{j.ID, step, index}] = true
+				}
+			}
+		}
+	})
+}
+
+func (h *history) checkRun(r Run) {
+	if r.Key.Attempt < h.starts[r.Key.Task] {
+		h.fatalf("run %v is older than attempt %d", r.Key, h.starts[r.Key.Task])
+	}
+	if r.Key.Attempt > h.starts[r.Key.Task] && h.done[r.Key.Task] {
+		h.fatalf("run %v began although its task was done", r.Key)
+	}
+	h.starts[r.Key.Task] = r.Key.Attempt
+}
+
+// TestHistoriesKeepTheInvariants applies random commands, also late, repeated and wrong ones.
+func TestHistoriesKeepTheInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := newHistory(rt.Fatalf)
+		for i := range rapid.IntRange(5, 60).Draw(rt, "commands") {
+			h.apply(drawCommand(rt, h, i))
+			if rapid.IntRange(0, 9).Draw(rt, "restart") == 0 {
+				h.reload()
+			}
+		}
+	})
+}
+
+func drawCommand(rt *rapid.T, h *history, i int) Command {
+	worker := fmt.Sprintf("w%d", rapid.IntRange(0, 2).Draw(rt, "worker"))
+	w, _ := h.state.Worker(worker)
+	epoch := w.Epoch - uint64(rapid.IntRange(0, 4).Draw(rt, "stale")/4)
+	run := RunKey{
+		Task: TaskKey{
+			Job:  modeler.JobID(fmt.Sprintf("j%d", rapid.IntRange(0, 3).Draw(rt, "job"))),
+			Step: rapid.IntRange(0, 1).Draw(rt, "step"), Index: rapid.IntRange(0, 2).Draw(rt, "index"),
+		},
+		Attempt: rapid.IntRange(1, 4).Draw(rt, "attempt"),
+	}
+	switch rapid.IntRange(0, 7).Draw(rt, "kind") {
+	case 0:
+		return Command{Attach: &Attach{
+			Worker: worker, Life: Life{ID: worker, Born: int64(rapid.IntRange(1, 3).Draw(rt, "born"))},
+			Process: fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "process")),
+			Profile: Profile{Service: "app", Capacity: modeler.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 4}},
+		}}
+	case 1:
+		gang := rapid.Bool().Draw(rt, "gang")
+		return Command{Submit: &modeler.Job{ID: run.Task.Job, Queue: "q", Steps: []modeler.Step{
+			{Count: 2, Need: modeler.Resources{Accelerators: 2}, Gang: gang}, {Count: 1, Need: modeler.Resources{Accelerators: 3}, After: []int{0}},
+		}}}
+	case 2:
+		return Command{Cancel: &Cancel{Job: run.Task.Job}}
+	case 3:
+		return Command{Detach: &Detach{Worker: worker, Epoch: epoch}}
+	case 4:
+		return Command{Report: &Report{Worker: worker, Epoch: epoch, Ends: []End{drawEnd(rt, w, run, i)}}}
+	}
+	starts := []Start{{Run: run, Worker: worker, Epoch: epoch}}
+	if rapid.Bool().Draw(rt, "both") {
+		run.Task.Index = 1 - run.Task.Index%2
+		starts = append(starts, Start{Run: run, Worker: worker, Epoch: epoch})
+	}
+	return Command{Assign: &Assign{Starts: starts, Stops: []RunKey{run}}}
+}
+
+func drawEnd(rt *rapid.T, w Worker, run RunKey, number int) End {
+	if len(w.Runs) > 0 && rapid.Bool().Draw(rt, "real") {
+		run = rapid.SampledFrom(w.Runs).Draw(rt, "run").Key
+	}
+	kind := EndKind(rapid.IntRange(int(EndDone), int(EndUnbegun)).Draw(rt, "end"))
+	return End{Number: number, Run: run, Kind: kind, Checkpoint: rapid.SampledFrom([]string{"", "c1"}).Draw(rt, "checkpoint")}
+}
+
+// reload replaces the state by what a snapshot gives back.
+func (h *history) reload() {
+	data, err := h.state.encode()
+	if err != nil {
+		h.fatalf("encode: %v", err)
+	}
+	m := NewMachine()
+	if err := m.Restore(h.index, data); err != nil {
+		h.fatalf("restore: %v", err)
+	}
+	again, err := m.State().encode()
+	if err != nil {
+		h.fatalf("encode again: %v", err)
+	}
+	if diff := cmp.Diff(data, again); diff != "" {
+		h.fatalf("a restored state differs (-before +after):\n%s", diff)
+	}
+	h.state = m.State()
+}
+
+func submitTwo(h *history, gang bool) {
+	h.apply(Command{Submit: &modeler.Job{ID: "j", Queue: "q", Steps: []modeler.Step{{Count: 2, Need: modeler.Resources{Accelerators: 2}, Gang: gang}}}})
+}
+
+func both(attempt int, epoch uint64) Command {
+	return Command{Assign: &Assign{Starts: []Start{
+		{Run: RunKey{TaskKey{Job: "j", Index: 0}, attempt}, Worker: "w", Epoch: epoch},
+		{Run: RunKey{TaskKey{Job: "j", Index: 1}, attempt}, Worker: "w", Epoch: epoch},
+	}}}
+}
+
+// TestGangIsAssignedWhole gives one start of two for a gang: nothing happens.
+func TestGangIsAssignedWhole(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, true)
+	c := both(1, epoch)
+	c.Assign.Starts = c.Assign.Starts[:1]
+	h.apply(c)
+	if w, _ := h.state.Worker("w"); len(w.Runs) != 0 {
+		t.Fatalf("a part of a gang holds room: %+v", w.Runs)
+	}
+	h.apply(both(1, epoch))
+	if w, _ := h.state.Worker("w"); len(w.Runs) != 2 {
+		t.Fatalf("the whole gang holds %d runs, want 2", len(w.Runs))
+	}
+}
+
+// TestOneMembersEndIsTheGangs has one member done and the other lost with its worker: the job is done.
+func TestOneMembersEndIsTheGangs(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, true)
+	h.apply(both(1, epoch))
+	h.apply(Command{Report: &Report{Worker: "w", Epoch: epoch, Ends: []End{{Number: 1, Run: RunKey{TaskKey{Job: "j"}, 1}, Kind: EndDone}}}})
+	h.apply(Command{Detach: &Detach{Worker: "w", Epoch: epoch}})
+	if j, _ := h.state.Job("j"); j.Phase != JobDone {
+		t.Fatalf("the job is %v, want done", j.Phase)
+	}
+}
+
+// TestGangFailsOnceAnAttempt has both members fail in the same attempt, which counts once of two.
+func TestGangFailsOnceAnAttempt(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, true)
+	fail := func(attempt, number int) {
+		h.apply(both(attempt, epoch))
+		h.apply(Command{Report: &Report{Worker: "w", Epoch: epoch, Ends: []End{
+			{Number: number, Run: RunKey{TaskKey{Job: "j", Index: 0}, attempt}, Kind: EndFailed},
+			{Number: number + 1, Run: RunKey{TaskKey{Job: "j", Index: 1}, attempt}, Kind: EndFailed},
+		}}})
+	}
+	fail(1, 1)
+	if j, _ := h.state.Job("j"); j.Phase == JobFailed {
+		t.Fatal("the job failed after one attempt of two")
+	}
+	fail(2, 3)
+	if j, _ := h.state.Job("j"); j.Phase != JobFailed {
+		t.Fatalf("the job is %v after two failed attempts, want failed", j.Phase)
+	}
+}
+
+// TestLateCommandsChangeNothing sends an assignment under an earlier attachment, and a resent submission.
+func TestLateCommandsChangeNothing(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	old := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, false)
+	h.attach("w", Life{"i", 1}, "q")
+	h.apply(both(1, old))
+	if w, _ := h.state.Worker("w"); len(w.Runs) != 0 {
+		t.Fatalf("runs were assigned under an earlier attachment: %+v", w.Runs)
+	}
+	before, _ := h.state.Job("j")
+	submitTwo(h, false)
+	after, _ := h.state.Job("j")
+	if diff := cmp.Diff(before, after, cmpopts.EquateEmpty()); diff != "" {
+		t.Fatalf("a resent submission changed the job (-before +after):\n%s", diff)
+	}
+}
+
+// TestReattachedWorkerKeepsItsRuns restarts an agent, and then the runner under it.
+func TestReattachedWorkerKeepsItsRuns(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, false)
+	h.apply(both(1, epoch))
+	if again := h.attach("w", Life{"i", 1}, "p"); again != epoch {
+		t.Errorf("a resent attachment got epoch %d, want %d", again, epoch)
+	}
+	if next := h.attach("w", Life{"i", 2}, "q"); next <= epoch {
+		t.Errorf("another life got epoch %d after %d", next, epoch)
+	}
+	if w, _ := h.state.Worker("w"); len(w.Runs) != 2 {
+		t.Errorf("%d runs are held until the agent has reported them, want 2", len(w.Runs))
+	}
+	if answer := h.apply(Command{Attach: &Attach{Worker: "w", Life: Life{"i", 1}, Process: "p"}}); answer.Code != Stale {
+		t.Errorf("an earlier life was attached: code %d", answer.Code)
+	}
+}
+
+// TestOlderConfigurationChangesNothing sends versions out of order, and other content under the version held.
+func TestOlderConfigurationChangesNothing(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	for _, version := range []uint64{5, 3, 5} {
+		h.apply(Command{Configure: &modeler.Configuration{Version: version, Source: fmt.Appendf(nil, "sent as %d after index %d", version, h.index)}})
+	}
+	want := "sent as 5 after index 1"
+	if got := string(h.state.Configuration.Source); got != want {
+		t.Errorf("the configuration is %q, want %q", got, want)
+	}
+}
+
+// TestUnreadableCommandIsRefused applies bytes that are no command.
+func TestUnreadableCommandIsRefused(t *testing.T) {
+	m := NewMachine()
+	if answer := m.Apply(1, []byte{0xff}).(Answer); answer.Code != Invalid {
+		t.Errorf("code %d, want %d", answer.Code, Invalid)
+	}
+	data, err := encoder.Marshal(Command{Submit: &modeler.Job{ID: "j"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer := m.Apply(2, data).(Answer); answer.Code != Accepted || answer.Index != 2 {
+		t.Errorf("answer %+v", answer)
+	}
+}
