--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,181 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+func member(id replicator.ReplicaID, address string, voter bool) replicator.Member {
+	return replicator.Member{ID: id, Address: address, Voter: voter}
+}
+
+// TestHeal states one step of the membership for each kind of change.
+func TestHeal(t *testing.T) {
+	a, b, c := member(1, "a", true), member(2, "b", true), member(3, "c", true)
+	newC, d := member(9, "c", false), member(8, "d", false)
+	voter := func(m replicator.Member) replicator.Member {
+		m.Voter = true
+		return m
+	}
+	peer := func(m replicator.Member, silence timekeeper.Millis) replicator.Peer {
+		return replicator.Peer{Member: m, Silence: silence, CaughtUp: true}
+	}
+	tests := []struct {
+		name    string
+		members []replicator.Member
+		peers   []replicator.Peer
+		want    []replicator.Member // nil: nothing to change
+	}{
+		{"all well", []replicator.Member{a, b, c}, []replicator.Peer{peer(b, 0), peer(c, 0)}, nil},
+		{"a voter is silent and nobody takes its place", []replicator.Member{a, b, c}, []replicator.Peer{peer(b, 0), peer(c, 60_000)}, nil},
+		{"a wiped voter is replaced at its address", []replicator.Member{a, b, c, newC}, []replicator.Peer{peer(b, 0), peer(c, 0), peer(newC, 0)}, []replicator.Member{a, b, newC}},
+		{"the newcomer gets the free vote", []replicator.Member{a, b, newC}, []replicator.Peer{peer(b, 0), peer(newC, 0)}, []replicator.Member{a, b, voter(newC)}},
+		{"a newcomer elsewhere waits while all voters are heard", []replicator.Member{a, b, c, d}, []replicator.Peer{peer(b, 0), peer(c, 0), peer(d, 0)}, nil},
+		{"it takes the place of a silent one", []replicator.Member{a, b, c, d}, []replicator.Peer{peer(b, 0), peer(c, voterSilence+1), peer(d, 0)}, []replicator.Member{a, b, d}},
+		{"a learner that is gone is forgotten", []replicator.Member{a, b, c, d}, []replicator.Peer{peer(b, 0), peer(c, 0), peer(d, learnerSilence+1)}, []replicator.Member{a, b, c}},
+		{"one that lags gets no vote", []replicator.Member{a, b, d}, []replicator.Peer{peer(b, 0), {Member: d}}, nil},
+	}
+	for _, test := range tests {
+		const wanted = 3
+		next, changed := heal(replicator.Membership{Members: test.members}, test.peers, wanted)
+		if changed != (test.want != nil) {
+			t.Errorf("%s: changed %v", test.name, changed)
+			continue
+		}
+		if diff := cmp.Diff(test.want, next.Members); changed && diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// TestLeasesOutliveLeaders checks that nothing counts as ended while an earlier leader's lease may last.
+func TestLeasesOutliveLeaders(t *testing.T) {
+	const span, taken timekeeper.Millis = 5000, 1000
+	l := newLeases(span)
+	l.takeOver(taken)
+	if l.ended("w", taken+span) {
+		t.Error("a worker counts as lost while an earlier leader's lease may last")
+	}
+	if !l.ended("w", taken+span+span/50+leaseMargin+1) {
+		t.Error("a worker that nobody heard of keeps its runs for good")
+	}
+	l.grant("w", 20_000)
+	if l.ended("w", 20_000+span) {
+		t.Error("a worker counts as lost within its lease by a slow clock")
+	}
+	if !l.ended("w", 20_000+span+span/50+leaseMargin+1) {
+		t.Error("a lease does not end")
+	}
+	if l.silent("w", 20_500, 1000) || !l.silent("w", 21_500, 1000) {
+		t.Error("silence is not counted from the last call")
+	}
+}
+
+// TestConfirmationsAreSharedNotReused has calls wait for confirmations: none is served by one that began before it.
+func TestConfirmationsAreSharedNotReused(t *testing.T) {
+	var mu sync.Mutex
+	began, gate := 0, make(chan struct{})
+	c := confirmer{read: func(context.Context) (uint64, error) {
+		mu.Lock()
+		began++
+		mu.Unlock()
+		<-gate
+		return 0, nil
+	}}
+	first := c.joinNext()
+	for read := 0; read == 0; { // the first round is on its way
+		mu.Lock()
+		read = began
+		mu.Unlock()
+	}
+	second, third := c.joinNext(), c.joinNext()
+	if second == first {
+		t.Error("a call joined a round that had begun")
+	}
+	if second != third {
+		t.Error("two calls that wait do not share a round")
+	}
+	close(gate)
+	<-first.done
+	<-second.done
+	if began != 2 {
+		t.Errorf("%d reads, want 2", began)
+	}
+}
+
+// TestConfirmationFails passes a lost leadership on to the call.
+func TestConfirmationFails(t *testing.T) {
+	c := confirmer{read: func(context.Context) (uint64, error) { return 0, replicator.ErrNotLeader }}
+	if err := c.confirm(context.Background()); !errors.Is(err, replicator.ErrNotLeader) {
+		t.Errorf("error %v, want %v", err, replicator.ErrNotLeader)
+	}
+}
+
+// TestBadWorkersAreAvoidedForATime judges workers by how their runs end, and avoids only a share of them.
+func TestBadWorkersAreAvoidedForATime(t *testing.T) {
+	c := newCluster(t, 5)
+	o := newObserver()
+	if o.judge("w0", false, 0) {
+		t.Error("one failed run is enough to avoid a worker")
+	}
+	if !o.judge("w0", false, 0) {
+		t.Error("a second failed run changes nothing")
+	}
+	for _, w := range []string{"w1", "w2", "w3"} {
+		o.judge(w, false, 0)
+		o.judge(w, false, 0)
+	}
+	if got := len(o.avoided(c.state, 1)); got != 2 {
+		t.Errorf("%d of 5 workers are avoided, want 2", got)
+	}
+	if got := len(o.avoided(c.state, avoidTime)); got != 0 {
+		t.Errorf("%d workers are avoided for good", got)
+	}
+	o.judge("w4", false, 0)
+	o.judge("w4", true, 0)
+	if o.judge("w4", false, 0) {
+		t.Error("a good run between two bad ones does not count")
+	}
+}
+
+// TestCheckpointsOfLostRuns gives back what the runner had listed last.
+func TestCheckpointsOfLostRuns(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 2, 1000)
+	o := newObserver()
+	o.see(1, []RunReport{{Run: keys[0], Percent: 10, Checkpoint: "c1"}})
+	o.see(2, []RunReport{{Run: keys[0], Percent: 20, Checkpoint: "c2"}})
+	w, _ := c.state.Worker("w0")
+	want := []tracker.Checkpoint{{Run: keys[0], Value: "c2"}}
+	if diff := cmp.Diff(want, o.saved(w)); diff != "" {
+		t.Errorf("saved (-want +got):\n%s", diff)
+	}
+	ends := []tracker.End{{Run: keys[0], Kind: tracker.EndLapsed}, {Run: keys[1], Kind: tracker.EndLapsed}}
+	o.fillCheckpoints(ends)
+	if ends[0].Checkpoint != "c2" || ends[1].Checkpoint != "" {
+		t.Errorf("checkpoints %q and %q", ends[0].Checkpoint, ends[1].Checkpoint)
+	}
+}
+
+// TestAdmission refuses what no worker can hold, and only that.
+func TestAdmission(t *testing.T) {
+	c := newCluster(t, 2)
+	q, _ := c.state.Configuration.Queue("batch")
+	fits := modeler.Job{Steps: []modeler.Step{{Count: 100, Need: modeler.Resources{Accelerators: 8}}}}
+	if refusal := admit(c.state, q, fits); refusal != nil {
+		t.Errorf("a job that runs in waves is refused: %s", refusal.Reason)
+	}
+	large := modeler.Job{Steps: []modeler.Step{{Count: 1, Need: modeler.Resources{Accelerators: 9}}}}
+	if refusal := admit(c.state, q, large); refusal == nil || refusal.Outcome != OutcomeRefused || refusal.RetryAfter == 0 {
+		t.Errorf("a task that no worker can hold got %+v", refusal)
+	}
+}
--- /dev/null
+++ b/internal/locator/locator_test.go
@@ -0,0 +1,105 @@
+package locator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+)
+
+type ask struct{}
+
+type answer struct {
+	Standing Standing `cbor:"1,keyasint"`
+	Name     string   `cbor:"2,keyasint"`
+}
+
+func (a answer) Place() Standing { return a.Standing }
+
+const method = "/test/Ask"
+
+// serveReplica serves one replica that answers as its function says.
+func serveReplica(t *testing.T, handle func(context.Context, *ask) (*answer, error)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}))
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: "test", HandlerType: (*any)(nil), Methods: []grpc.MethodDesc{encoder.Unary("Ask", handle)},
+	}, nil)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func callOnce(t *testing.T, l *Locator) (answer, error) {
+	t.Helper()
+	const patience = 10 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return Call[ask, answer](ctx, l, method, 0, &ask{})
+}
+
+// TestLeaderIsFound starts from a replica that does not lead and from an address where nobody answers.
+func TestLeaderIsFound(t *testing.T) {
+	leader := serveReplica(t, func(context.Context, *ask) (*answer, error) { return &answer{Name: "leader"}, nil })
+	follower := serveReplica(t, func(context.Context, *ask) (*answer, error) {
+		return &answer{Standing: Standing{NotLeader: true, Leader: leader, Members: []string{leader}}}, nil
+	})
+	l := New([]string{"127.0.0.1:1", follower}, logger.Logger{})
+	defer l.Close()
+	got, err := callOnce(t, l)
+	if err != nil || got.Name != "leader" {
+		t.Fatalf("got %+v, error %v", got, err)
+	}
+	if !l.HeardWithin(1000) {
+		t.Error("the leader's answer was not noted")
+	}
+}
+
+// TestSilentLeaderIsLeft has the known leader stop answering; the call goes to another one.
+func TestSilentLeaderIsLeft(t *testing.T) {
+	silent := make(chan struct{})
+	defer close(silent)
+	first := true
+	old := serveReplica(t, func(ctx context.Context, _ *ask) (*answer, error) {
+		if first {
+			first = false
+			return &answer{Name: "old"}, nil
+		}
+		select {
+		case <-silent:
+		case <-ctx.Done():
+		}
+		return nil, errors.New("never answered in time")
+	})
+	l := New([]string{old}, logger.Logger{})
+	defer l.Close()
+	if _, err := callOnce(t, l); err != nil {
+		t.Fatal(err)
+	}
+	l.Add([]string{serveReplica(t, func(context.Context, *ask) (*answer, error) { return &answer{Name: "next"}, nil })})
+	got, err := callOnce(t, l)
+	if err != nil || got.Name != "next" {
+		t.Fatalf("got %+v, error %v", got, err)
+	}
+}
+
+// TestNoLeaderIsAnError ends with the caller's time, not before and not never.
+func TestNoLeaderIsAnError(t *testing.T) {
+	l := New([]string{"127.0.0.1:1"}, logger.Logger{})
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := Call[ask, answer](ctx, l, method, 0, &ask{}); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error %v, want %v", err, ErrUnavailable)
+	}
+}
