--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 	$(GO) test -race $(SKIP) ./...
 
 check:
-	@test -z "$$(gofmt -l cmd internal)" || { echo "not formatted:"; gofmt -l cmd internal; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { echo "not formatted:"; gofmt -l cmd internal platform; exit 1; }
+	scripts/check-imports.sh
 	$(GO) vet ./...
 	$(GO) vet -tags proof ./internal/prover
 	$(GO) tool staticcheck ./...
--- a/cmd/lagoonmilld/main.go
+++ b/cmd/lagoonmilld/main.go
@@ -9,10 +9,11 @@
 )
 
 func main() {
-	os.Exit(commander.Daemon(os.Args, commander.RoleRunner{
+	os.Exit(commander.Daemon(os.Args, commander.Adapter{
 		Name:  "platform",
 		Usage: "runs a role on the users' platform, which tells it its settings: entry, control or agent",
-		Check: platform.CheckRole,
-		Run:   platform.Run,
+		Run: func(role string, metricsPort int) (int, error) {
+			return platform.Run(platform.Options{Role: role, MetricsPort: metricsPort})
+		},
 	}))
 }
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	var code strings.Builder
-	for _, pattern := range []string{"../*/*.go"} {
+	for _, pattern := range []string{"../*/*.go", "../../platform/*.go"} {
 		paths, _ := filepath.Glob(pattern)
 		for _, path := range paths {
 			data, err := os.ReadFile(path)
--- a/internal/commander/daemon.go
+++ b/internal/commander/daemon.go
@@ -64,36 +64,8 @@
 	}
 }
 
-// RoleRunner runs the daemon in a role of a platform whose settings it reads itself; an error tells that they cannot
-// be used.
-type RoleRunner struct {
-	Name  string // of the command
-	Usage string
-	Check func(role string) error
-	Run   func(role string) (int, error)
-}
-
-// command returns the command that runs a role; code gets the exit code.
-func (r RoleRunner) command(code *int) *cli.Command {
-	return &cli.Command{
-		Name: r.Name, Usage: r.Usage, ArgsUsage: "ROLE",
-		Action: func(_ context.Context, c *cli.Command) error {
-			role := c.Args().First()
-			if err := r.Check(role); err != nil {
-				return &exitError{ExitUsage, err}
-			}
-			ended, err := r.Run(role)
-			if err != nil {
-				return &exitError{ExitUsage, err}
-			}
-			*code = ended
-			return nil
-		},
-	}
-}
-
 // Daemon runs lagoonmilld and returns its exit code.
-func Daemon(args []string, adapters ...RoleRunner) int {
+func Daemon(args []string, adapters ...Adapter) int {
 	code := ExitOK
 	root := &cli.Command{
 		Name:  "lagoonmilld",
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -37,6 +37,7 @@
 	confirmer confirmer
 	observer  *observer
 	leases    *leases
+	forgot    timekeeper.Millis // when old jobs were last dropped; it belongs to Lead
 }
 
 // New returns the coordinator of a node whose state machine is machine.
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -67,6 +67,18 @@
 	}
 	c.detachLost(ctx)
 	c.plan(ctx)
+	c.forgetOld(ctx)
+}
+
+// forgetOld drops jobs that ended long ago, at most once in keepEnded.
+func (c *Coordinator) forgetOld(ctx context.Context) {
+	if now := c.clock.Now(); now-c.forgot > keepEnded {
+		c.forgot = now
+		command := tracker.Command{Forget: &tracker.Forget{Before: c.wall.Now() - keepEnded}}
+		if _, err := c.propose(ctx, command); err != nil {
+			c.log.Log(logger.ProposalFailed, logger.F("error", err)) // the next turn tries again
+		}
+	}
 }
 
 // detachLost gives up workers whose leases have ended.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -28,11 +28,10 @@
 	log     logger.Logger
 	clock   timekeeper.Monotonic
 
-	mu       sync.Mutex
-	newest   Announcement
-	arrived  timekeeper.Millis
-	changed  chan struct{}
-	attached bool
+	mu      sync.Mutex
+	newest  Announcement
+	arrived timekeeper.Millis
+	changed chan struct{}
 }
 
 // New returns the agent of a worker; process names this incarnation of it.
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -132,7 +132,7 @@
 		victims = append(victims, v)
 		reach = reach.Plus(v.run.Need)
 		if need.Fits(reach) {
-			victims, reach = s.spare(victims, reach)
+			victims = s.spare(victims, reach)
 			return victims, s.costOf(victims), true
 		}
 	}
@@ -140,7 +140,7 @@
 }
 
 // spare gives back victims that are not needed after all, dearest first.
-func (s *search) spare(victims []placedRun, reach modeler.Resources) ([]placedRun, modeler.Resources) {
+func (s *search) spare(victims []placedRun, reach modeler.Resources) []placedRun {
 	need := s.demand.spec().Need
 	for i := len(victims) - 1; i >= 0; i-- {
 		without := reach.Minus(victims[i].run.Need)
@@ -149,7 +149,7 @@
 			victims = slices.Delete(victims, i, i+1)
 		}
 	}
-	return victims, reach
+	return victims
 }
 
 func (s *search) candidates(r *room) []placedRun {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -298,3 +298,27 @@
 		t.Errorf("answer %+v", answer)
 	}
 }
+
+// TestEndedJobsAreForgotten drops what ended before a time, but no job that a worker still holds a run of.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Life{"i", 1}, "p")
+	submitTwo(h, false)
+	h.apply(both(1, epoch))
+	h.apply(Command{Cancel: &Cancel{Job: "j", At: 100}})
+	h.apply(Command{Forget: &Forget{Before: 200}})
+	if _, known := h.state.Job("j"); !known {
+		t.Fatal("a job was forgotten while its runs are being stopped")
+	}
+	for i := range 2 {
+		h.apply(Command{Report: &Report{Worker: "w", Epoch: epoch, Ends: []End{{Number: i + 1, Run: RunKey{TaskKey{Job: "j", Index: i}, 1}, Kind: EndStopped}}}})
+	}
+	h.apply(Command{Forget: &Forget{Before: 100}})
+	if _, known := h.state.Job("j"); !known {
+		t.Fatal("a job was forgotten too early")
+	}
+	h.apply(Command{Forget: &Forget{Before: 101}})
+	if _, known := h.state.Job("j"); known {
+		t.Fatal("an old job is kept for good")
+	}
+}
