--- a/internal/journaler/file.go
+++ b/internal/journaler/file.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 const tempSuffix = ".new"
@@ -29,7 +31,7 @@
 	}
 	if _, err := file.Write(data); err != nil {
 		_ = file.Close()
-		return fmt.Errorf("write file: %w", err)
+		return fmt.Errorf("write file: %w", diskError(err))
 	}
 	if err := file.Sync(); err != nil {
 		_ = file.Close()
@@ -38,6 +40,14 @@
 	return file.Close()
 }
 
+// diskError marks an error that says that the disk is full.
+func diskError(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return fmt.Errorf("%w: %w", ErrDiskFull, err)
+	}
+	return err
+}
+
 // removeTemporary drops files that a crash left half written.
 func removeTemporary(dir string) error {
 	paths, err := filepath.Glob(filepath.Join(dir, "*"+tempSuffix))
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"sort"
 	"strings"
-	"syscall"
 
 	"github.com/google/uuid"
 
@@ -132,10 +131,7 @@
 		if cutErr := j.cut(); cutErr != nil {
 			j.failed = cutErr
 		}
-		if errors.Is(err, syscall.ENOSPC) {
-			return fmt.Errorf("write record: %w: %w", ErrDiskFull, err)
-		}
-		return fmt.Errorf("write record: %w", err)
+		return fmt.Errorf("write record: %w", diskError(err))
 	}
 	if err := j.file.Sync(); err != nil {
 		j.failed = fmt.Errorf("sync segment: %w", err)
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -23,6 +23,8 @@
 	tickInterval       = 30 * timekeeper.Millis(1)
 	snapshotEntries    = 20_000
 	maxFollowedEntries = 512
+	// fullDiskPause is the pause before a write is tried again on a full disk.
+	fullDiskPause = 200 * time.Millisecond
 )
 
 // StateMachine is what the log's commands change; Node calls it from one goroutine, in log order.
@@ -71,6 +73,7 @@
 type Node struct {
 	core      *Core
 	journal   *journaler.Journal
+	append    func(journaler.Batch) error // to the journal
 	machine   StateMachine
 	transport Transport
 	clock     timekeeper.Clock
@@ -120,7 +123,7 @@
 		}
 	}
 	n := &Node{
-		core: core, journal: j, machine: config.Machine, transport: config.Transport, clock: config.Clock,
+		core: core, journal: j, append: j.Append, machine: config.Machine, transport: config.Transport, clock: config.Clock,
 		every:      config.SnapshotEvery,
 		proposals:  make(chan proposal, proposalBatch),
 		readsIn:    make(chan readRequest, proposalBatch),
@@ -260,7 +263,7 @@
 	ticker := time.NewTicker(tickInterval.Duration())
 	defer ticker.Stop()
 	for {
-		if err := n.work(); err != nil {
+		if err := n.work(ctx); err != nil {
 			n.err = err
 			return fmt.Errorf("run replica: %w", err)
 		}
@@ -352,12 +355,12 @@
 }
 
 // work does all that the core has ready: eager sends, disk, sends, applies.
-func (n *Node) work() error {
+func (n *Node) work(ctx context.Context) error {
 	for !n.core.Idle() {
 		r := n.core.Ready()
 		members := n.core.Status().Members
 		n.transport.Send(members, n.complete(r.Eager))
-		if err := n.persist(r); err != nil {
+		if err := n.persist(ctx, r); err != nil {
 			return err
 		}
 		n.transport.Send(members, n.complete(r.Messages))
@@ -381,7 +384,7 @@
 	return messages
 }
 
-func (n *Node) persist(r Ready) error {
+func (n *Node) persist(ctx context.Context, r Ready) error {
 	if r.Snapshot != nil {
 		if err := n.install(*r.Snapshot); err != nil {
 			return err
@@ -390,7 +393,7 @@
 	if !r.Persist {
 		return nil
 	}
-	if err := n.journal.Append(journaler.Batch{State: r.State, Entries: r.Entries}); err != nil {
+	if err := n.appendWhenRoom(ctx, journaler.Batch{State: r.State, Entries: r.Entries}); err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
 	if len(r.Entries) > 0 {
@@ -399,6 +402,22 @@
 	return nil
 }
 
+// appendWhenRoom makes a batch durable. While the disk is full it waits: the replica does nothing meanwhile, and another
+// one leads.
+func (n *Node) appendWhenRoom(ctx context.Context, b journaler.Batch) error {
+	for {
+		err := n.append(b)
+		if !errors.Is(err, journaler.ErrDiskFull) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(fullDiskPause):
+		}
+	}
+}
+
 func (n *Node) install(s journaler.Snapshot) error {
 	if err := n.journal.SaveSnapshot(s); err != nil {
 		return fmt.Errorf("save received snapshot: %w", err)
@@ -477,6 +496,10 @@
 
 func (n *Node) adopt(d snapshotDone) error {
 	n.snapshoting = false
+	if errors.Is(d.err, journaler.ErrDiskFull) {
+		n.snapshotAt = n.applied // the next one is tried after as many entries again
+		return nil
+	}
 	if d.err != nil {
 		return d.err
 	}
--- a/internal/replicator/node_test.go
+++ b/internal/replicator/node_test.go
@@ -272,3 +272,47 @@
 		b.Fatal(err)
 	}
 }
+
+// TestFullDiskIsWaitedFor has a disk take nothing for a while; the replica goes on when there is room again. It fails
+// where a full disk ends the replica.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	j, err := journaler.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := NewNode(NodeConfig{Journal: j, Machine: &counter{}, Transport: &wire{}, Clock: timekeeper.Monotonic{}, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const refusals = 3
+	refused := make(chan struct{}, refusals)
+	node.append = func(b journaler.Batch) error {
+		if len(b.Entries) > 0 && b.Entries[0].Kind == EntryCommand {
+			select {
+			case refused <- struct{}{}:
+				return fmt.Errorf("write record: %w", journaler.ErrDiskFull)
+			default:
+			}
+		}
+		return j.Append(b)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("node: %v", err)
+		}
+		_ = j.Close()
+	})
+	node.Bootstrap("n0", []string{"n0"})
+	(&group{nodes: []*Node{node}}).leader(t)
+	got, err := node.Propose(ctx, binary.BigEndian.AppendUint64(nil, 7))
+	if err != nil || got != uint64(7) {
+		t.Fatalf("proposal gave %v, error %v", got, err)
+	}
+	if len(refused) != refusals {
+		t.Errorf("%d writes were refused, want %d", len(refused), refusals)
+	}
+}
