--- a/internal/controller/client.go
+++ b/internal/controller/client.go
@@ -126,7 +126,7 @@
 	for {
 		response, err := callLeader(ctx, c, methodPropose, &ProposeRequest{Command: data}, standing)
 		switch {
-		case err != nil && !unsent(err):
+		case err != nil && !messenger.Unsent(err):
 			return registrar.Answer{}, fmt.Errorf("%w: %w", ErrUncertain, err)
 		case err == nil && response.Uncertain:
 			return registrar.Answer{}, ErrUncertain
--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -75,7 +75,9 @@
 		return &CallResponse{Reply: c.notLeader()}
 	}
 	c.log.Log(logger.JobUncertain, logger.F("job", string(id)), logger.F("error", err))
-	return &CallResponse{Reply: c.notLeader(), Outcome: OutcomeUncertain}
+	reply := c.notLeader()
+	reply.Standing.Uncertain = true
+	return &CallResponse{Reply: reply, Outcome: OutcomeUncertain}
 }
 
 func (c *Coordinator) call(ctx context.Context, r *CallRequest) (*CallResponse, error) {
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	r := &JoinRequest{ID: c.node.ID(), Address: c.settings.Address}
-	_, err := locator.Call[JoinRequest, JoinResponse](ctx, l, MethodJoin, 0, r)
+	_, err := locator.Call[JoinRequest, JoinResponse](ctx, l, MethodJoin, locator.Limits{}, r)
 	return err
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -125,7 +125,7 @@
 	r := &coordinator.AttachRequest{Attach: tracker.Attach{
 		Worker: e.worker, Life: a.Life, Process: e.process, Profile: a.Profile, Draining: a.Draining,
 	}}
-	answer, err := locator.Call[coordinator.AttachRequest, coordinator.AttachResponse](call, e.locator, coordinator.MethodAttach, 0, r)
+	answer, err := locator.Call[coordinator.AttachRequest, coordinator.AttachResponse](call, e.locator, coordinator.MethodAttach, locator.Limits{}, r)
 	if err != nil || !answer.Accepted {
 		e.log.Log(logger.AttachmentLost, logger.F("runner", a.Life.ID), logger.F("refused", err == nil), logger.F("error", err))
 		pause(ctx, attachPause)
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -194,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r := &coordinator.LeaveRequest{Worker: s.agent.worker, Epoch: s.epoch}
-	_, err := locator.Call[coordinator.LeaveRequest, coordinator.LeaveResponse](ctx, s.agent.locator, coordinator.MethodLeave, 0, r)
+	_, err := locator.Call[coordinator.LeaveRequest, coordinator.LeaveResponse](ctx, s.agent.locator, coordinator.MethodLeave, locator.Limits{}, r)
 	if err != nil {
 		s.agent.log.Log(logger.RunnerCallFailed, logger.F("call", "leave"), logger.F("error", err)) // the lease ends by itself
 	}
@@ -285,7 +285,7 @@
 		call, cancel := context.WithTimeout(ctx, watchTimeout)
 		defer cancel()
 		response, err := locator.Call[coordinator.WatchRequest, coordinator.WatchResponse](
-			call, s.agent.locator, coordinator.MethodWatch, coordinator.HoldTime.Duration(), r)
+			call, s.agent.locator, coordinator.MethodWatch, locator.Limits{Hold: coordinator.HoldTime.Duration()}, r)
 		s.watched <- watchResult{response, err, leaseEnd(clock, sent, response.Lease)}
 	}()
 }
@@ -328,7 +328,7 @@
 	go func() {
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		response, err := locator.Call[coordinator.ReportRequest, coordinator.ReportResponse](call, s.agent.locator, coordinator.MethodReport, 0, r)
+		response, err := locator.Call[coordinator.ReportRequest, coordinator.ReportResponse](call, s.agent.locator, coordinator.MethodReport, locator.Limits{}, r)
 		s.handed <- reportResult{ends, response.Lost, err}
 	}()
 }
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +30,7 @@
 	NotLeader bool     `cbor:"1,keyasint,omitempty"`
 	Leader    string   `cbor:"2,keyasint,omitempty"` // address of the leader, where it is known
 	Members   []string `cbor:"3,keyasint,omitempty"` // addresses of all members
+	Uncertain bool     `cbor:"4,keyasint,omitempty"` // the call may be carried out all the same
 }
 
 // Response is an answer of a control replica.
@@ -86,31 +86,66 @@
 	return l.heard > 0 && l.clock.Now()-l.heard <= span
 }
 
-// Call calls a method of the leader until one answers or ctx ends. A call may take wait longer than others, where
-// the leader answers late on purpose.
-func Call[Req any, Resp Response](ctx context.Context, l *Locator, method string, wait time.Duration, r *Req) (Resp, error) {
-	var last error
+// Limits bound a call beyond its context; a zero field sets no bound.
+type Limits struct {
+	Hold   time.Duration // how much longer than other calls this one may take, where the leader answers late on purpose
+	Unsent time.Duration // how long a leader is looked for while no replica can have taken the call
+}
+
+// CallError tells that no leader answered in time.
+type CallError struct {
+	Sent  bool // a replica may have taken the call, so that it may have been or be carried out
+	Cause error
+}
+
+// Error returns the text of the error.
+func (e *CallError) Error() string { return ErrUnavailable.Error() + ": " + e.Cause.Error() }
+
+// Unwrap returns ErrUnavailable and the cause.
+func (e *CallError) Unwrap() []error { return []error{ErrUnavailable, e.Cause} }
+
+// Call calls a method of the leader until one answers, ctx ends or a limit is reached; it then returns a CallError.
+func Call[Req any, Resp Response](ctx context.Context, l *Locator, method string, limits Limits, r *Req) (Resp, error) {
+	failed := &CallError{}
+	began := time.Now()
 	for {
-		address := l.guess()
-		resp, err := try[Req, Resp](ctx, l, address, method, wait, r)
+		resp, err := try[Req, Resp](ctx, l, method, limits.Hold, r)
 		if err == nil && !resp.Place().NotLeader {
 			return resp, nil
 		}
-		last = err
-		select {
-		case <-ctx.Done():
+		failed.Cause = errors.Join(err, ctx.Err())
+		failed.Sent = failed.Sent || err != nil && !messenger.Unsent(err) || err == nil && resp.Place().Uncertain
+		late := limits.Unsent > 0 && !failed.Sent && time.Since(began) > limits.Unsent
+		if late || !pause(ctx) {
 			var none Resp
 			l.noteLost()
-			return none, fmt.Errorf("%w: %w", ErrUnavailable, errors.Join(ctx.Err(), last))
-		case <-time.After(retryPause):
+			return none, failed.withCause()
 		}
 	}
 }
 
-func try[Req any, Resp Response](ctx context.Context, l *Locator, address, method string, wait time.Duration, r *Req) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+wait)
+func (e *CallError) withCause() *CallError {
+	if e.Cause == nil {
+		e.Cause = errors.New("the replicas that answer do not lead")
+	}
+	return e
+}
+
+// pause waits before the next try; it returns false when ctx has ended.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retryPause):
+		return true
+	}
+}
+
+func try[Req any, Resp Response](ctx context.Context, l *Locator, method string, hold time.Duration, r *Req) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout+hold)
 	defer cancel()
 	var none Resp
+	address := l.guess()
 	conn, err := l.conn(address)
 	if err != nil {
 		return none, err
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -45,7 +45,7 @@
 	const patience = 10 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	return Call[ask, answer](ctx, l, method, 0, &ask{})
+	return Call[ask, answer](ctx, l, method, Limits{}, &ask{})
 }
 
 // TestLeaderIsFound starts from a replica that does not lead and from an address where nobody answers.
@@ -93,13 +93,48 @@
 	}
 }
 
-// TestNoLeaderIsAnError ends with the caller's time, not before and not never.
+// TestNoLeaderIsAnError ends with the caller's time, and tells whether a replica may have taken the call.
 func TestNoLeaderIsAnError(t *testing.T) {
+	follower := serveReplica(t, func(context.Context, *ask) (*answer, error) {
+		return &answer{Standing: Standing{NotLeader: true}}, nil
+	})
+	loser := serveReplica(t, func(context.Context, *ask) (*answer, error) {
+		return &answer{Standing: Standing{NotLeader: true, Uncertain: true}}, nil
+	})
+	mute := serveReplica(t, func(ctx context.Context, _ *ask) (*answer, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	tests := []struct {
+		name, address string
+		sent          bool
+	}{
+		{"nobody listens", "127.0.0.1:1", false},
+		{"it does not lead", follower, false},
+		{"it lost its leadership with the call on its log", loser, true},
+		{"it does not answer", mute, true},
+	}
+	for _, test := range tests {
+		l := New([]string{test.address}, logger.Logger{})
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		_, err := Call[ask, answer](ctx, l, method, Limits{}, &ask{})
+		var failed *CallError
+		if !errors.Is(err, ErrUnavailable) || !errors.As(err, &failed) || failed.Sent != test.sent {
+			t.Errorf("%s: error %v, want sent %v", test.name, err, test.sent)
+		}
+		cancel()
+		l.Close()
+	}
+}
+
+// TestSearchEndsEarlyWhileNothingWasSent ends long before the caller's time where no replica takes the call.
+func TestSearchEndsEarlyWhileNothingWasSent(t *testing.T) {
 	l := New([]string{"127.0.0.1:1"}, logger.Logger{})
 	defer l.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
 	defer cancel()
-	if _, err := Call[ask, answer](ctx, l, method, 0, &ask{}); !errors.Is(err, ErrUnavailable) {
-		t.Errorf("error %v, want %v", err, ErrUnavailable)
+	_, err := Call[ask, answer](ctx, l, method, Limits{Unsent: 50 * time.Millisecond}, &ask{})
+	if !errors.Is(err, ErrUnavailable) || ctx.Err() != nil {
+		t.Errorf("error %v, context %v", err, ctx.Err())
 	}
 }
