Tell an operator what a system does: system status, queues, workers, jobs; explain a job from log files

Change: a control replica describes the system, confirmed by a quorum; the tool shows it, and puts a job's lines of collected logs in order.

--- a/internal/commander/tool.go
+++ b/internal/commander/tool.go
@@ -23,7 +23,7 @@
 			&cli.StringFlag{Name: "token-file", Sources: cli.EnvVars("LAGOONMILL_TOKEN_FILE"), Usage: "a file that holds one bearer token"},
 			&cli.StringFlag{Name: "output", Value: "table", Sources: cli.EnvVars("LAGOONMILL_OUTPUT"), Usage: "table or json"},
 		},
-		Commands: []*cli.Command{workspacesCommand(), presetsCommand(), jobsCommand(), requestsCommand(), clusterCommand(), traceCommand()},
+		Commands: []*cli.Command{workspacesCommand(), presetsCommand(), jobsCommand(), requestsCommand(), clusterCommand(), systemCommand(), explainCommand(), traceCommand()},
 	}
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,7 @@
 			encoder.Unary("Leave", c.leave),
 			encoder.Unary("Hello", c.hello),
 			encoder.Unary("Join", c.join),
+			encoder.Unary("Describe", c.describe),
 		},
 	}, c)
 }
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -50,7 +50,6 @@
 	TaskWaiting TaskPhase = iota
 	TaskAssigned
 	TaskDone
-	TaskFailed
 )
 
 // Task is one task of a step.
