Keep workers for batch work that needs a whole one

Change: a batch demand that does not fit keeps the workers that will first have room for it, up to a quarter of all. Test: TestWholeWorkerTaskIsNotStarved fails without (never begun).

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -29,6 +29,8 @@
 	rooms []*room
 	byID  map[string]*room
 	runs  []placedRun // that hold room and are not being stopped
+
+	reserved int // workers kept for batch work in this plan
 }
 
 // placedRun is a run with what its stop would cost and free.
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -88,6 +88,21 @@
 	return float64(met) / float64(max(all, 1))
 }
 
+// servedLarge is the share of the plans whose tasks need a whole worker that have ended at all.
+func servedLarge(p *play) float64 {
+	done, all := 0, 0
+	p.state.Jobs(func(j tracker.Job) {
+		if j.Queue != "plans" || j.Steps[0].Need.Accelerators < 8 {
+			return
+		}
+		all++
+		if j.Phase == tracker.JobDone {
+			done++
+		}
+	})
+	return float64(done) / float64(max(all, 1))
+}
+
 // worths are what a job of a queue is worth in time and late, as the users state them.
 var worths = map[string][2]float64{"urgent": {4, 0.8}, "plans": {3, 0.9}, "checks": {1, 0.3}}
 
@@ -137,7 +152,7 @@
 		t.Logf("day %d: urgent %.2f (first come %.2f), plans %.2f (%.2f), checks %.2f (%.2f), lost %d (%d) core-seconds", seed,
 			served(ours, "urgent"), served(plain, "urgent"), served(ours, "plans"), served(plain, "plans"),
 			served(ours, "checks"), served(plain, "checks"), ours.lost/1_000_000, plain.lost/1_000_000)
-		t.Logf("day %d: worth %.3f (%.3f)", seed, worth(ours), worth(plain))
+		t.Logf("day %d: worth %.3f (%.3f), large plans %.2f (%.2f)", seed, worth(ours), worth(plain), servedLarge(ours), servedLarge(plain))
 	}
 	if urgent < 0.9 {
 		t.Errorf("%.2f of the urgent jobs met their objective, want 0.9", urgent)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -81,6 +81,7 @@
 		p, ok := b.placeFree(one)
 		if !ok {
 			b.makeRoomForRest(plan, d, i)
+			b.reserve(one)
 			return
 		}
 		b.take(p)
@@ -103,6 +104,7 @@
 	p, ok := b.placeFree(d)
 	if !ok {
 		b.makeRoom(plan, d)
+		b.reserve(d)
 		return
 	}
 	b.take(p)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -152,3 +152,23 @@
 		t.Fatalf("stops %v, want %v", plan.Stops, key)
 	}
 }
+
+// TestWholeWorkerTaskIsNotStarved keeps a cluster full of small tasks that come all the time and end one by one; a task
+// of the same queue that needs a whole worker begins all the same. It fails where every free piece is given away.
+func TestWholeWorkerTaskIsNotStarved(t *testing.T) {
+	p := newPlay(t, Plan, 4)
+	n := 0
+	p.run(30_000, func(now timekeeper.Millis) {
+		if now == 3000 {
+			p.submit("whole", "plans", "other", 3000, tasks(1, 8, 3000))
+		}
+		if now%100 == 0 {
+			n++
+			p.submit(fmt.Sprintf("small-%03d", n), "plans", "other", 3600, tasks(1, 1, 1000))
+		}
+	})
+	j, _ := p.state.Job("whole")
+	if at, begun := p.first["whole"]; !begun || at-j.Submitted > 10_000 {
+		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
+	}
+}
--- /dev/null
+++ b/internal/planner/reserve.go
@@ -0,0 +1,109 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+// reservedShare bounds the workers that are kept for waiting batch work at once, as one in so many. Kept workers stand
+// partly idle until their runs end.
+const reservedShare = 4
+
+// reserve keeps the workers that will first have room for a batch demand, so that smaller work behind it does not take
+// every piece that gets free: a task that needs a whole worker would else never begin on a busy day.
+func (b *board) reserve(d demand) {
+	if d.rank < rankBatch || d.rank >= rankWorthless || b.reserved >= b.mostReserved() {
+		return
+	}
+	p := b.soonest(d)
+	if p == nil {
+		return
+	}
+	b.promise(p)
+	seen := map[*room]bool{}
+	for _, s := range p {
+		if !seen[s.room] {
+			seen[s.room] = true
+			b.reserved++
+		}
+	}
+}
+
+func (b *board) mostReserved() int { return max(len(b.rooms)/reservedShare, 1) }
+
+// soonest finds the place that has room first if nothing else begins there; nil if there is none.
+func (b *board) soonest(d demand) placement {
+	rooms := b.allowed(d)
+	groups := [][]*room{rooms}
+	if d.spec().Gang && d.spec().OneRack {
+		if racks := byRack(rooms); anyRackHolds(d, racks) {
+			groups = racks
+		}
+	}
+	var best placement
+	bestAt := timekeeper.Millis(0)
+	for _, group := range groups {
+		p, at := b.soonestIn(d, group)
+		if p != nil && (best == nil || at < bestAt) {
+			best, bestAt = p, at
+		}
+	}
+	return best
+}
+
+// soonestIn places each task where it fits first, and returns when the last one does.
+func (b *board) soonestIn(d demand, rooms []*room) (placement, timekeeper.Millis) {
+	need := d.spec().Need
+	placed := map[*room]int{}
+	var p placement
+	latest := timekeeper.Millis(0)
+	for range d.tasks {
+		var best *room
+		bestAt := timekeeper.Millis(0)
+		for _, r := range rooms {
+			if limit := d.spec().MaxPerWorker; limit > 0 && placed[r] >= limit {
+				continue
+			}
+			at, ok := b.fitsAt(r, need.Times(placed[r]+1))
+			if ok && (best == nil || at < bestAt) {
+				best, bestAt = r, at
+			}
+		}
+		if best == nil {
+			return nil, 0
+		}
+		placed[best]++
+		p = append(p, spot{best, need, stepKey{d.job.ID, d.step}})
+		latest = max(latest, bestAt)
+	}
+	return p, latest
+}
+
+// fitsAt estimates how long it takes until an amount fits into a room, if nothing else begins there.
+func (b *board) fitsAt(r *room, need modeler.Resources) (timekeeper.Millis, bool) {
+	left := r.soon
+	if need.Fits(left) {
+		return 0, true
+	}
+	type ending struct {
+		at   timekeeper.Millis
+		need modeler.Resources
+	}
+	var endings []ending
+	for _, run := range b.runs {
+		if run.room == r && !run.fixed {
+			endings = append(endings, ending{b.remaining(run.run.Key), run.run.Need})
+		}
+	}
+	slices.SortFunc(endings, func(x, y ending) int { return cmp.Compare(x.at, y.at) })
+	for _, e := range endings {
+		left = left.Plus(e.need)
+		if need.Fits(left) {
+			return e.at, true
+		}
+	}
+	return 0, false
+}
