--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -11,6 +11,9 @@
 
 // admit returns why a job cannot be accepted, or nil.
 func admit(s tracker.State, q modeler.Queue, j modeler.Job) *CallResponse {
+	if q.Advised {
+		return &CallResponse{Outcome: OutcomeUnsupported, Reason: "placements by an advisor are not supported"}
+	}
 	for i := range j.Steps {
 		if !holdable(s, q, j.Steps[i]) {
 			return &CallResponse{Outcome: OutcomeRefused, Reason: "no worker can hold a task of the job", RetryAfter: retryAfterStart}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -174,6 +174,11 @@
 	if refusal := admit(c.state, q, fits); refusal != nil {
 		t.Errorf("a job that runs in waves is refused: %s", refusal.Reason)
 	}
+	advised := q
+	advised.Advised = true
+	if refusal := admit(c.state, advised, fits); refusal == nil || refusal.Outcome != OutcomeUnsupported {
+		t.Errorf("a job of an advised queue got %+v", refusal)
+	}
 	large := modeler.Job{Steps: []modeler.Step{{Count: 1, Need: modeler.Resources{Accelerators: 9}}}}
 	if refusal := admit(c.state, q, large); refusal == nil || refusal.Outcome != OutcomeRefused || refusal.RetryAfter == 0 {
 		t.Errorf("a task that no worker can hold got %+v", refusal)
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -46,6 +46,7 @@
 	OutcomeRefused               // the job was not stored and never runs; RetryAfter tells when to come again
 	OutcomeUncertain             // the call may or may not take effect
 	OutcomeNotAcceptable         // the configuration is invalid
+	OutcomeUnsupported           // the job was not stored and never runs: the product cannot run such a job
 )
 
 // Address is where a caller's call goes: the host name, the path and the caller's key.
