--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -29,6 +29,7 @@
 	resumed    int               // the percentage when the runner first listed it
 	moved      timekeeper.Millis // when the percentage last rose
 	first      timekeeper.Millis // when the runner first listed it
+	last       timekeeper.Millis // when the runner last listed it
 	checkpoint string
 }
 
@@ -62,6 +63,7 @@
 		if run.first == 0 {
 			run.first, run.moved, run.resumed = now, now, r.Percent
 		}
+		run.last = now
 		if r.Percent > run.percent {
 			run.percent, run.moved = r.Percent, now
 		}
@@ -146,7 +148,7 @@
 			kept[r.Key] = run
 			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping {
 				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
-				paces = append(paces, run.pace(r.Key, w.Name, j.Queue, now))
+				paces = append(paces, run.pace(r.Key, w.Name, j.Queue))
 			}
 		}
 		if at, ok := o.leaving[w.Name]; ok {
@@ -180,6 +182,12 @@
 	if r.first == 0 || step.LongRunning {
 		return p
 	}
-	p.Stalled = now-r.moved > stallTime+timekeeper.Millis(stallShare*float64(step.Estimate))
+	// Nothing is known of a run whose worker is not heard, and a member of a gang that has done its part waits for the
+	// others.
+	stood := r.last - r.moved
+	p.Stalled = r.percent < whole && stood > stallTime+timekeeper.Millis(stallShare*float64(step.Estimate))
 	return p
 }
+
+// whole is the percentage of a run that has done all its work.
+const whole = 100
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -107,3 +107,32 @@
 		t.Errorf("stalled: %v and %v, want false and true", progress[keys[0]].Stalled, progress[keys[1]].Stalled)
 	}
 }
+
+// TestUnheardRunIsNotStalled has a worker be cut off in the middle of a run: nothing is known of it, so that it is left
+// to its lease.
+func TestUnheardRunIsNotStalled(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 2, 5000)
+	o := newObserver()
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000, keys[1]: 20_000}, 3000)
+	progress, _, _ := o.input(c.state, 9000)
+	for _, key := range keys {
+		if progress[key].Stalled || progress[key].Slow {
+			t.Errorf("%v is judged although nothing was heard of it: %+v", key, progress[key])
+		}
+	}
+}
+
+// TestWaitingGangMemberIsNotStalled has one member be done long before the other.
+func TestWaitingGangMemberIsNotStalled(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 2, 2000)
+	o := newObserver()
+	for now := timekeeper.Millis(1); now < 9000; now += 500 {
+		o.see(now, []RunReport{{Run: keys[0], Percent: min(int(now/20), 100)}, {Run: keys[1], Percent: int(now / 100)}})
+	}
+	progress, _, _ := o.input(c.state, 9000)
+	if progress[keys[0]].Stalled {
+		t.Errorf("a member that has done its part is judged as standing still: %+v", progress[keys[0]])
+	}
+}
--- a/internal/coordinator/pace.go
+++ b/internal/coordinator/pace.go
@@ -32,11 +32,11 @@
 	left   timekeeper.Millis
 }
 
-func (r *observed) pace(key tracker.RunKey, worker, queue string, now timekeeper.Millis) pace {
+func (r *observed) pace(key tracker.RunKey, worker, queue string) pace {
 	p := pace{run: key, worker: worker, queue: queue}
-	if ran := now - r.first; r.first > 0 && r.percent > r.resumed && ran > slowAfter {
-		p.whole = ran * 100 / timekeeper.Millis(r.percent-r.resumed)
-		p.left = p.whole * timekeeper.Millis(100-r.percent) / 100
+	if ran := r.last - r.first; r.first > 0 && r.percent > r.resumed && ran > slowAfter {
+		p.whole = ran * whole / timekeeper.Millis(r.percent-r.resumed)
+		p.left = p.whole * timekeeper.Millis(whole-r.percent) / whole
 	}
 	return p
 }
