Run jobs at times

Cause: repeated jobs were refused; deployments unseen may send them. Change: a job has occurrences; each has tasks of its own, begins no earlier than its time, and may overlap others.

--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -40,7 +40,10 @@
 	if _, known := state.Job(id); known {
 		return &CallResponse{Reply: c.reply(), Outcome: OutcomeOK}, nil
 	}
-	j := modeler.Job{ID: id, Queue: q.Name, Workspace: w.Name, Payload: r.Payload, Steps: r.Steps, Submitted: c.wall.Now()}
+	j := modeler.Job{
+		ID: id, Queue: q.Name, Workspace: w.Name, Payload: r.Payload, Steps: r.Steps, Submitted: c.wall.Now(),
+		Repeat: r.Repeat, StartAt: r.StartAt, Period: r.Period,
+	}
 	if err := j.Check(); err != nil {
 		return c.refuse(r.Address, CallResponse{Outcome: OutcomeInvalid, Reason: err.Error()}), nil
 	}
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -58,9 +58,12 @@
 
 // SubmitRequest submits a job; its id is the rest of the path behind the queue's prefix.
 type SubmitRequest struct {
-	Address Address        `cbor:"1,keyasint"`
-	Payload string         `cbor:"2,keyasint,omitempty"`
-	Steps   []modeler.Step `cbor:"3,keyasint"`
+	Address Address           `cbor:"1,keyasint"`
+	Payload string            `cbor:"2,keyasint,omitempty"`
+	Steps   []modeler.Step    `cbor:"3,keyasint"`
+	Repeat  int               `cbor:"4,keyasint,omitempty"` // with StartAt and Period as a job has them
+	StartAt timekeeper.Millis `cbor:"5,keyasint,omitempty"`
+	Period  timekeeper.Millis `cbor:"6,keyasint,omitempty"`
 }
 
 // CallKind tells what a call asks for.
--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -83,7 +83,21 @@
 	Workspace string            `cbor:"3,keyasint,omitempty"`
 	Payload   string            `cbor:"4,keyasint,omitempty"` // handed to every run as it is
 	Steps     []Step            `cbor:"5,keyasint"`
-	Submitted timekeeper.Millis `cbor:"6,keyasint"` // since the Unix epoch, by the leader that accepted it
+	Submitted timekeeper.Millis `cbor:"6,keyasint"`           // since the Unix epoch, by the leader that accepted it
+	Repeat    int               `cbor:"7,keyasint,omitempty"` // how many times the steps run at times; zero: once, now
+	StartAt   timekeeper.Millis `cbor:"8,keyasint,omitempty"` // when the first occurrence is due, since the Unix epoch
+	Period    timekeeper.Millis `cbor:"9,keyasint,omitempty"` // between occurrences
+}
+
+// Occurrences returns how many times the steps run.
+func (j Job) Occurrences() int { return max(j.Repeat, 1) }
+
+// DueAt returns when an occurrence may begin, since the Unix epoch.
+func (j Job) DueAt(occurrence int) timekeeper.Millis {
+	if j.Repeat == 0 {
+		return j.Submitted
+	}
+	return j.StartAt + timekeeper.Millis(occurrence)*j.Period
 }
 
 // Work returns the weight of the job's tasks times their estimates, in thousandths of a core times milliseconds.
@@ -122,7 +136,7 @@
 	return (s.Count + atOnce - 1) / atOnce
 }
 
-// Accelerators returns what all steps of the job need together, as guarantees count it.
+// Accelerators returns what all steps of one occurrence need together, as guarantees count it.
 func (j Job) Accelerators() int {
 	n := 0
 	for _, s := range j.Steps {
@@ -132,8 +146,10 @@
 }
 
 const (
-	maxSteps = 64   // bounds the state that one submission makes
-	maxTasks = 4096 // likewise, for one step
+	maxSteps       = 64     // bounds the state that one submission makes
+	maxTasks       = 4096   // likewise, for one step
+	maxOccurrences = 1000   // likewise
+	maxAllTasks    = 20_000 // likewise, over all steps and occurrences
 )
 
 // Check reports what makes the job impossible to run as it stands, whatever the cluster.
@@ -141,10 +157,18 @@
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return fmt.Errorf("a job has 1 to %d steps, got %d", maxSteps, len(j.Steps))
 	}
+	if j.Repeat < 0 || j.Repeat > maxOccurrences || j.Period < 0 {
+		return fmt.Errorf("a job runs at most %d times, got %d", maxOccurrences, j.Repeat)
+	}
+	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.check(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+		tasks += s.Count
+	}
+	if all := tasks * j.Occurrences(); all > maxAllTasks {
+		return fmt.Errorf("a job has at most %d tasks over all its times, got %d", maxAllTasks, all)
 	}
 	return nil
 }
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -15,12 +15,13 @@
 	free   modeler.Resources // neither held by a run nor promised in this plan
 	soon   modeler.Resources // free, and what is being stopped, less what is promised
 	avoid  bool
-	steps  map[stepKey]int // tasks of a step on the worker, those placed in this plan included
+	steps  map[groupKey]int // tasks of a group on the worker, those placed in this plan included
 }
 
-type stepKey struct {
-	job  modeler.JobID
-	step int
+// groupKey names a step of one occurrence of a job, by its instance.
+type groupKey struct {
+	job      modeler.JobID
+	instance int
 }
 
 // board is the state of a plan in the making; it belongs to one call of Plan.
@@ -39,7 +40,7 @@
 	room  *room
 	rank  int
 	loss  int // unsaved work, in thousandths of a core times milliseconds
-	group stepKey
+	group groupKey
 	gang  bool
 	fixed bool // must not be stopped
 }
@@ -54,7 +55,7 @@
 		if !w.Usable() || in.Silent[w.Name] {
 			continue
 		}
-		r := &room{worker: w, rack: w.Profile.Rack(), free: w.Free(), soon: w.Free(), avoid: in.Avoid[w.Name], steps: map[stepKey]int{}}
+		r := &room{worker: w, rack: w.Profile.Rack(), free: w.Free(), soon: w.Free(), avoid: in.Avoid[w.Name], steps: map[groupKey]int{}}
 		b.rooms = append(b.rooms, r)
 		b.byID[w.Name] = r
 		for _, run := range w.Runs {
@@ -66,19 +67,22 @@
 
 func (b *board) addRun(r *room, run tracker.Run, ranks map[modeler.JobID]int) {
 	key := run.Key.Task
-	r.steps[stepKey{key.Job, key.Step}]++
 	if run.Stopping {
 		r.soon = r.soon.Plus(run.Need)
-		return
 	}
 	j, ok := b.in.State.Job(key.Job)
+	if !ok {
+		return
+	}
+	group := groupKey{key.Job, j.Instance(key)}
+	r.steps[group]++
 	rank, open := ranks[key.Job]
-	if !ok || !open {
+	if run.Stopping || !open {
 		return
 	}
 	step := j.Steps[key.Step]
 	b.runs = append(b.runs, placedRun{
-		run: run, room: r, rank: rank, loss: b.loss(run, step), group: stepKey{key.Job, key.Step},
+		run: run, room: r, rank: rank, loss: b.loss(run, step), group: group,
 		gang: step.Gang, fixed: step.LongRunning,
 	})
 }
@@ -125,9 +129,10 @@
 		b.stopOne(plan, key)
 		return
 	}
-	for index, t := range j.Tasks[key.Task.Step] {
+	instance := j.Instance(key.Task)
+	for index, t := range j.Tasks[instance] {
 		if t.Phase == tracker.TaskAssigned {
-			b.stopOne(plan, tracker.RunKey{Task: tracker.TaskKey{Job: j.ID, Step: key.Task.Step, Index: index}, Attempt: t.Attempt})
+			b.stopOne(plan, tracker.RunKey{Task: j.Key(instance, index), Attempt: t.Attempt})
 		}
 	}
 }
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -8,13 +8,13 @@
 // demand is a number of equal tasks of one step that want a place.
 type demand struct {
 	candidate
-	step     int
+	instance int
 	tasks    []tracker.TaskKey
 	promised int // tasks of the step for which this plan has started or kept room already
 }
 
-func newDemand(c candidate, step int, tasks []tracker.TaskKey) demand {
-	return demand{candidate: c, step: step, tasks: tasks}
+func newDemand(c candidate, instance int, tasks []tracker.TaskKey) demand {
+	return demand{candidate: c, instance: instance, tasks: tasks}
 }
 
 func (d demand) withTasks(tasks []tracker.TaskKey) demand {
@@ -22,21 +22,24 @@
 	return d
 }
 
-func (d demand) spec() modeler.Step { return d.job.Steps[d.step] }
+// group returns what the demand's tasks belong to.
+func (d demand) group() groupKey { return groupKey{d.job.ID, d.instance} }
+
+func (d demand) spec() modeler.Step { return d.job.Spec(d.instance) }
 
 func (d demand) nextAttempt(key tracker.TaskKey) int {
-	return d.job.Tasks[key.Step][key.Index].Attempt + 1
+	return d.job.Tasks[d.instance][key.Index].Attempt + 1
 }
 
 // checkpoint returns where the task resumes; the members of a gang hold the same value.
 func (d demand) checkpoint(key tracker.TaskKey) string {
-	return d.job.Tasks[key.Step][key.Index].Checkpoint
+	return d.job.Tasks[d.instance][key.Index].Checkpoint
 }
 
 // assigned returns the number of the step's tasks that hold room, those of this plan included.
 func (d demand) assigned() int {
 	n := d.promised
-	for _, t := range d.job.Tasks[d.step] {
+	for _, t := range d.job.Tasks[d.instance] {
 		if t.Phase == tracker.TaskAssigned {
 			n++
 		}
@@ -74,7 +77,7 @@
 // shuns reports whether the last failed run of one of the tasks was on the worker.
 func (d demand) shuns(worker string) bool {
 	for _, key := range d.tasks {
-		if d.job.Tasks[key.Step][key.Index].FailedOn == worker {
+		if d.job.Tasks[d.instance][key.Index].FailedOn == worker {
 			return true
 		}
 	}
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -26,8 +26,8 @@
 		c := list[first]
 		list = append(list[:first:first], list[first+1:]...)
 		c.rank = rankWorthless // may not stop anything
-		for step := range c.job.Steps {
-			b.planStep(&plan, c, step)
+		for instance := range c.job.Tasks {
+			b.planInstance(&plan, c, instance)
 		}
 	}
 	return plan
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -11,7 +11,7 @@
 type spot struct {
 	room  *room
 	need  modeler.Resources
-	group stepKey
+	group groupKey
 }
 
 // placement is a place for each task of a demand, in their order.
@@ -119,7 +119,7 @@
 
 // fill places each task in the room that it leaves fullest, so that empty workers stay whole for what needs them.
 func fill(d demand, rooms []*room, give offer) (placement, bool) {
-	group := stepKey{d.job.ID, d.step}
+	group := d.group()
 	need := d.spec().Need
 	taken := map[*room]modeler.Resources{}
 	placed := map[*room]int{}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -34,37 +34,37 @@
 	b.stopStalled(&plan)
 	b.stopLeaving(&plan)
 	for _, c := range rank(in) {
-		for step := range c.job.Steps {
-			b.planStep(&plan, c, step)
+		for instance := range c.job.Tasks {
+			b.planInstance(&plan, c, instance)
 		}
 	}
 	return plan
 }
 
-// planStep starts what it can of a step, or makes room for it.
-func (b *board) planStep(plan *tracker.Assign, c candidate, step int) {
-	if !c.job.StepReady(step) {
+// planInstance starts what it can of a step of one occurrence, or makes room for it.
+func (b *board) planInstance(plan *tracker.Assign, c candidate, instance int) {
+	if b.in.Now < c.job.DueAt(c.job.Occurrence(instance)) || !c.job.Ready(instance) {
 		return
 	}
-	waiting := waitingTasks(c.job, step)
+	waiting := waitingTasks(c.job, instance)
 	if len(waiting) == 0 {
 		return
 	}
-	d := newDemand(c, step, waiting)
-	if !c.job.Steps[step].Gang {
+	d := newDemand(c, instance, waiting)
+	if !d.spec().Gang {
 		b.planSingles(plan, d)
 		return
 	}
-	if len(waiting) == c.job.Steps[step].Count {
+	if len(waiting) == d.spec().Count {
 		b.planGang(plan, d)
 	}
 }
 
-func waitingTasks(j tracker.Job, step int) []tracker.TaskKey {
+func waitingTasks(j tracker.Job, instance int) []tracker.TaskKey {
 	var keys []tracker.TaskKey
-	for index, t := range j.Tasks[step] {
+	for index, t := range j.Tasks[instance] {
 		if t.Phase == tracker.TaskWaiting {
-			keys = append(keys, tracker.TaskKey{Job: j.ID, Step: step, Index: index})
+			keys = append(keys, j.Key(instance, index))
 		}
 	}
 	return keys
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
@@ -172,3 +173,28 @@
 		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
 	}
 }
+
+// TestOccurrencesWaitForTheirTimes runs a job three times, the later ones while an earlier one still runs.
+func TestOccurrencesWaitForTheirTimes(t *testing.T) {
+	p := newPlay(t, Plan, 2)
+	p.truth["timed"] = 2500
+	p.apply(tracker.Command{Submit: &modeler.Job{
+		ID: "timed", Queue: "plans", Workspace: "other", Submitted: p.now, Repeat: 3, StartAt: 1000, Period: 2000,
+		Steps: []modeler.Step{tasks(1, 2, 2500)},
+	}})
+	begun := map[int]timekeeper.Millis{}
+	p.run(9000, func(now timekeeper.Millis) {
+		for key := range p.begun {
+			if _, seen := begun[key.Task.Occurrence]; !seen {
+				begun[key.Task.Occurrence] = now - tick
+			}
+		}
+	})
+	want := map[int]timekeeper.Millis{0: 1000, 1: 3000, 2: 5000}
+	if diff := cmp.Diff(want, begun); diff != "" {
+		t.Errorf("times at which the occurrences began (-want +got):\n%s", diff)
+	}
+	if j, _ := p.state.Job("timed"); j.Phase != tracker.JobDone {
+		t.Errorf("the job is %v after all its times", j.Phase)
+	}
+}
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -160,19 +160,21 @@
 // checkPlan checks what must hold of every decision, from the state it was made on.
 func (p *play) checkPlan(s tracker.State, plan tracker.Assign) {
 	p.t.Helper()
-	spread := map[stepKey]map[string]int{}
-	gangs := map[stepKey]map[int]int{}
+	spread := map[groupKey]map[string]int{}
+	gangs := map[groupKey]map[int]int{}
 	for _, start := range plan.Starts {
 		key := start.Run.Task
 		j, _ := s.Job(key.Job)
 		step := j.Steps[key.Step]
 		task, _ := j.Task(key)
 		w, _ := s.Worker(start.Worker)
-		group := stepKey{key.Job, key.Step}
+		group := groupKey{key.Job, j.Instance(key)}
 		switch {
 		case task.Phase != tracker.TaskWaiting || start.Run.Attempt <= task.Attempt:
 			p.t.Fatalf("%v is started, its task is %+v", start.Run, task)
-		case !j.StepReady(key.Step):
+		case p.now < j.DueAt(key.Occurrence):
+			p.t.Fatalf("%v is started at %v, before its time", start.Run, p.now)
+		case !j.Ready(j.Instance(key)):
 			p.t.Fatalf("%v is started before the steps that it waits for are done", start.Run)
 		case !hasLabel(w, step.Label):
 			p.t.Fatalf("%v is started on %s, which lacks label %q", start.Run, w.Name, step.Label)
@@ -188,16 +190,16 @@
 	}
 	for group, attempts := range gangs {
 		j, _ := s.Job(group.job)
-		if step := j.Steps[group.step]; step.Gang && (len(attempts) != 1 || spreadSum(spread[group]) != step.Count) {
+		if step := j.Spec(group.instance); step.Gang && (len(attempts) != 1 || spreadSum(spread[group]) != step.Count) {
 			p.t.Fatalf("the gang %v is started with %v of %d members", group, attempts, step.Count)
 		}
 	}
 }
 
-func heldOf(w tracker.Worker, group stepKey) int {
+func heldOf(w tracker.Worker, group groupKey) int {
 	n := 0
 	for _, r := range w.Runs {
-		if r.Key.Task.Job == group.job && r.Key.Task.Step == group.step {
+		if t := r.Key.Task; t.Job == group.job && t.Occurrence == 0 && t.Step == group.instance {
 			n++
 		}
 	}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -112,13 +112,13 @@
 	s.cost += bestCost
 	s.counts[best]++
 	s.reach[best] = s.reach[best].Minus(s.demand.spec().Need)
-	s.placed = append(s.placed, spot{best, s.demand.spec().Need, stepKey{s.demand.job.ID, s.demand.step}})
+	s.placed = append(s.placed, spot{best, s.demand.spec().Need, s.demand.group()})
 	return true
 }
 
 func (s *search) underLimit(r *room) bool {
 	limit := s.demand.spec().MaxPerWorker
-	return limit == 0 || r.steps[stepKey{s.demand.job.ID, s.demand.step}]+s.counts[r] < limit
+	return limit == 0 || r.steps[s.demand.group()]+s.counts[r] < limit
 }
 
 // victimsOn returns the runs of a lower rank to stop so that one task fits, cheapest first.
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -32,6 +32,7 @@
 	job   tracker.Job
 	queue modeler.Queue
 	rank  int
+	start timekeeper.Millis // when the job, or the first occurrence that is not done, might begin, since the Unix epoch
 	due   timekeeper.Millis // when the objective passes, since the Unix epoch
 	room  modeler.Resources // what all workers of the queue's service have together
 }
@@ -50,8 +51,8 @@
 		if _, known := rooms[q.Service]; !known {
 			rooms[q.Service] = in.State.Room(q.Service)
 		}
-		c := candidate{job: j, queue: q, room: rooms[q.Service]}
-		c.due = j.Submitted + q.Objective(j.Chain(c.room))
+		c := candidate{job: j, queue: q, room: rooms[q.Service], start: start(j)}
+		c.due = c.start + q.Objective(j.Chain(c.room))
 		w, _ := in.State.Configuration.Workspace(j.Workspace)
 		c.rank = c.rankAt(in.Now, owed[j.Workspace] <= w.Accelerators)
 		ranked = append(ranked, c)
@@ -62,9 +63,19 @@
 	return ranked
 }
 
+// start returns when the first occurrence that is not done might begin.
+func start(j tracker.Job) timekeeper.Millis {
+	for instance := range j.Tasks {
+		if !j.Done(instance) {
+			return j.DueAt(j.Occurrence(instance))
+		}
+	}
+	return j.Submitted
+}
+
 func (c candidate) rankAt(now timekeeper.Millis, guaranteed bool) int {
 	urgent := c.queue.Priority == 0
-	objective := c.due - c.job.Submitted
+	objective := c.due - c.start
 	missed := now+timekeeper.Millis(optimism*float64(c.job.Chain(c.room))) > c.due && c.job.Phase == tracker.JobQueued
 	switch {
 	case urgent && guaranteed:
@@ -73,7 +84,7 @@
 		return rankOverdue
 	case urgent:
 		return rankUrgent
-	case now > c.job.Submitted+lateObjectives*objective:
+	case now > c.start+lateObjectives*objective:
 		return rankWorthless + c.queue.Priority*rankBatch
 	case missed:
 		return c.queue.Priority*rankBatch + rankBatch/2
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -76,7 +76,7 @@
 			return nil, 0
 		}
 		placed[best]++
-		p = append(p, spot{best, need, stepKey{d.job.ID, d.step}})
+		p = append(p, spot{best, need, d.group()})
 		latest = max(latest, bestAt)
 	}
 	return p, latest
--- a/internal/tracker/apply.go
+++ b/internal/tracker/apply.go
@@ -162,7 +162,7 @@
 	}
 	s.putJob(j)
 	if step.Gang {
-		s.stopStep(j, key.Step)
+		s.stopInstance(j, j.Instance(key))
 	}
 }
 
@@ -173,9 +173,9 @@
 		return t
 	}
 	if step.Gang {
-		return j.withStep(key.Step, done)
+		return j.withInstance(j.Instance(key), done)
 	}
-	return j.WithTask(key, done(j.Tasks[key.Step][key.Index]))
+	return j.WithTask(key, done(j.Tasks[j.Instance(key)][key.Index]))
 }
 
 // withFailure counts a failed run, for a gang once however many members failed in the same attempt.
@@ -187,9 +187,9 @@
 		return t
 	}
 	if step.Gang {
-		return j.withStep(key.Step, count)
+		return j.withInstance(j.Instance(key), count)
 	}
-	return j.WithTask(key, count(j.Tasks[key.Step][key.Index]))
+	return j.WithTask(key, count(j.Tasks[j.Instance(key)][key.Index]))
 }
 
 // withCheckpoint keeps a checkpoint; any member's is good for the whole gang.
@@ -199,9 +199,9 @@
 		return t
 	}
 	if step.Gang {
-		return j.withStep(key.Step, keep)
+		return j.withInstance(j.Instance(key), keep)
 	}
-	return j.WithTask(key, keep(j.Tasks[key.Step][key.Index]))
+	return j.WithTask(key, keep(j.Tasks[j.Instance(key)][key.Index]))
 }
 
 // settle ends a job that has nothing left to do, or of which a task has failed too often.
@@ -256,7 +256,8 @@
 		return 1
 	}
 	other := slices.IndexFunc(starts, func(o Start) bool {
-		return o.Run.Task.Job != first.Job || o.Run.Task.Step != first.Step
+		t := o.Run.Task
+		return t.Job != first.Job || t.Occurrence != first.Occurrence || t.Step != first.Step
 	})
 	if other < 0 {
 		return len(starts)
@@ -287,7 +288,7 @@
 		return false
 	}
 	t, ok := j.Task(key)
-	if !ok || t.Phase != TaskWaiting || order.Run.Attempt <= t.Attempt || !j.StepReady(key.Step) {
+	if !ok || t.Phase != TaskWaiting || order.Run.Attempt <= t.Attempt || !j.Ready(j.Instance(key)) {
 		return false
 	}
 	w, ok := s.workers.Get(order.Worker)
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -12,14 +12,15 @@
 
 // TaskKey names one task of one job.
 type TaskKey struct {
-	Job   modeler.JobID `cbor:"1,keyasint"`
-	Step  int           `cbor:"2,keyasint"`
-	Index int           `cbor:"3,keyasint"`
+	Job        modeler.JobID `cbor:"1,keyasint"`
+	Step       int           `cbor:"2,keyasint"`
+	Index      int           `cbor:"3,keyasint"`
+	Occurrence int           `cbor:"4,keyasint,omitempty"`
 }
 
 // String returns the key as it stands in logs.
 func (k TaskKey) String() string {
-	return string(k.Job) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
+	return string(k.Job) + "." + strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step) + "." + strconv.Itoa(k.Index)
 }
 
 // Compare orders keys by job, step and index.
@@ -27,6 +28,9 @@
 	if c := strings.Compare(string(k.Job), string(o.Job)); c != 0 {
 		return c
 	}
+	if k.Occurrence != o.Occurrence {
+		return k.Occurrence - o.Occurrence
+	}
 	if k.Step != o.Step {
 		return k.Step - o.Step
 	}
@@ -88,57 +92,81 @@
 	modeler.Job
 	Phase JobPhase
 	Ended timekeeper.Millis // since the Unix epoch, by the leader that proposed the end
-	Tasks [][]Task          // by step
+	Tasks [][]Task          // by instance
 }
 
+// An instance is one step of one occurrence; a job's instances are numbered occurrence by occurrence.
+
 func newJob(j modeler.Job) Job {
-	tasks := make([][]Task, len(j.Steps))
-	for i, s := range j.Steps {
-		tasks[i] = make([]Task, s.Count)
+	tasks := make([][]Task, 0, j.Occurrences()*len(j.Steps))
+	for range j.Occurrences() {
+		for _, s := range j.Steps {
+			tasks = append(tasks, make([]Task, s.Count))
+		}
 	}
 	return Job{Job: j, Tasks: tasks}
 }
 
+// Instance returns the number of the instance that a task belongs to.
+func (j Job) Instance(key TaskKey) int { return key.Occurrence*len(j.Steps) + key.Step }
+
+// Occurrence returns the occurrence that an instance belongs to.
+func (j Job) Occurrence(instance int) int { return instance / len(j.Steps) }
+
+// Spec returns the step of an instance.
+func (j Job) Spec(instance int) modeler.Step { return j.Steps[instance%len(j.Steps)] }
+
+// Key returns the key of a task of an instance.
+func (j Job) Key(instance, index int) TaskKey {
+	return TaskKey{Job: j.ID, Occurrence: j.Occurrence(instance), Step: instance % len(j.Steps), Index: index}
+}
+
 // Task returns the task that key names.
 func (j Job) Task(key TaskKey) (Task, bool) {
-	if key.Step < 0 || key.Step >= len(j.Tasks) || key.Index < 0 || key.Index >= len(j.Tasks[key.Step]) {
+	if key.Occurrence < 0 || key.Occurrence >= j.Occurrences() || key.Step < 0 || key.Step >= len(j.Steps) {
+		return Task{}, false
+	}
+	tasks := j.Tasks[j.Instance(key)]
+	if key.Index < 0 || key.Index >= len(tasks) {
 		return Task{}, false
 	}
-	return j.Tasks[key.Step][key.Index], true
+	return tasks[key.Index], true
 }
 
 // WithTask returns a copy in which the task that key names is t.
 func (j Job) WithTask(key TaskKey, t Task) Job {
+	instance := j.Instance(key)
 	j.Tasks = slices.Clone(j.Tasks)
-	j.Tasks[key.Step] = slices.Clone(j.Tasks[key.Step])
-	j.Tasks[key.Step][key.Index] = t
+	j.Tasks[instance] = slices.Clone(j.Tasks[instance])
+	j.Tasks[instance][key.Index] = t
 	return j
 }
 
-// withStep returns a copy in which change was applied to every task of a step.
-func (j Job) withStep(step int, change func(Task) Task) Job {
+// withInstance returns a copy in which change was applied to every task of an instance.
+func (j Job) withInstance(instance int, change func(Task) Task) Job {
 	j.Tasks = slices.Clone(j.Tasks)
-	j.Tasks[step] = slices.Clone(j.Tasks[step])
-	for i, t := range j.Tasks[step] {
-		j.Tasks[step][i] = change(t)
+	j.Tasks[instance] = slices.Clone(j.Tasks[instance])
+	for i, t := range j.Tasks[instance] {
+		j.Tasks[instance][i] = change(t)
 	}
 	return j
 }
 
-// StepDone reports whether all tasks of a step are done.
-func (j Job) StepDone(step int) bool {
-	return !slices.ContainsFunc(j.Tasks[step], func(t Task) bool { return t.Phase != TaskDone })
+// Done reports whether all tasks of an instance are done.
+func (j Job) Done(instance int) bool {
+	return !slices.ContainsFunc(j.Tasks[instance], func(t Task) bool { return t.Phase != TaskDone })
 }
 
-// StepReady reports whether the steps that a step waits for are done.
-func (j Job) StepReady(step int) bool {
-	return !slices.ContainsFunc(j.Steps[step].After, func(before int) bool { return !j.StepDone(before) })
+// Ready reports whether the steps that an instance waits for are done.
+func (j Job) Ready(instance int) bool {
+	first := j.Occurrence(instance) * len(j.Steps)
+	return !slices.ContainsFunc(j.Spec(instance).After, func(before int) bool { return !j.Done(first + before) })
 }
 
 // allDone reports whether every task of the job is done.
 func (j Job) allDone() bool {
-	for step := range j.Tasks {
-		if !j.StepDone(step) {
+	for instance := range j.Tasks {
+		if !j.Done(instance) {
 			return false
 		}
 	}
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -48,11 +48,11 @@
 	return jobs
 }
 
-// Pending returns the number of jobs of a queue of which nothing has been started.
+// Pending returns the number of jobs of a queue, those at times left out, of which nothing has been started.
 func (s State) Pending(queue string) int {
 	n := 0
 	for _, j := range s.Open() {
-		if j.Queue == queue && j.Phase == JobQueued {
+		if j.Queue == queue && j.Phase == JobQueued && j.Repeat == 0 {
 			n++
 		}
 	}
@@ -100,15 +100,15 @@
 
 // stopRuns marks every run of a job as to be stopped.
 func (s *State) stopRuns(j Job) {
-	for step := range j.Tasks {
-		s.stopStep(j, step)
+	for instance := range j.Tasks {
+		s.stopInstance(j, instance)
 	}
 }
 
-func (s *State) stopStep(j Job, step int) {
-	for index, t := range j.Tasks[step] {
+func (s *State) stopInstance(j Job, instance int) {
+	for index, t := range j.Tasks[instance] {
 		if t.Phase == TaskAssigned {
-			s.stopRun(t.Worker, RunKey{TaskKey{j.ID, step, index}, t.Attempt})
+			s.stopRun(t.Worker, RunKey{j.Key(instance, index), t.Attempt})
 		}
 	}
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -72,10 +72,10 @@
 		}
 	}
 	h.state.Jobs(func(j Job) {
-		for step, tasks := range j.Tasks {
+		for instance, tasks := range j.Tasks {
 			for index, t := range tasks {
 				if t.Phase == TaskDone {
-					h.done[TaskKey{j.ID, step, index}] = true
+					h.done[j.Key(instance, index)] = true
 				}
 			}
 		}
@@ -111,8 +111,9 @@
 	epoch := w.Epoch - uint64(rapid.IntRange(0, 4).Draw(rt, "stale")/4)
 	run := RunKey{
 		Task: TaskKey{
-			Job:  modeler.JobID(fmt.Sprintf("j%d", rapid.IntRange(0, 3).Draw(rt, "job"))),
-			Step: rapid.IntRange(0, 1).Draw(rt, "step"), Index: rapid.IntRange(0, 2).Draw(rt, "index"),
+			Job:        modeler.JobID(fmt.Sprintf("j%d", rapid.IntRange(0, 3).Draw(rt, "job"))),
+			Occurrence: rapid.IntRange(0, 2).Draw(rt, "occurrence") / 2,
+			Step:       rapid.IntRange(0, 1).Draw(rt, "step"), Index: rapid.IntRange(0, 2).Draw(rt, "index"),
 		},
 		Attempt: rapid.IntRange(1, 4).Draw(rt, "attempt"),
 	}
@@ -125,7 +126,7 @@
 		}}
 	case 1:
 		gang := rapid.Bool().Draw(rt, "gang")
-		return Command{Submit: &modeler.Job{ID: run.Task.Job, Queue: "q", Steps: []modeler.Step{
+		return Command{Submit: &modeler.Job{ID: run.Task.Job, Queue: "q", Repeat: rapid.IntRange(0, 2).Draw(rt, "repeat"), Steps: []modeler.Step{
 			{Count: 2, Need: modeler.Resources{Accelerators: 2}, Gang: gang}, {Count: 1, Need: modeler.Resources{Accelerators: 3}, After: []int{0}},
 		}}}
 	case 2:
