Move long tasks once; let urgent work that stops nobody wait for a place of its own

Change: a run is compared with its queue in its first attempt only; a demand for which nothing is stopped keeps the workers that will first have room for it; only batch demands count towards the quarter of workers. Tests: TestLongTaskIsMovedOnce, TestOverdueGangStillBegins (red before: never begun).

--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -136,3 +136,23 @@
 		t.Errorf("a member that has done its part is judged as standing still: %+v", progress[keys[0]])
 	}
 }
+
+// TestLongTaskIsMovedOnce has a task of a queue that takes eight times as long as the others, wherever it runs. The
+// first run is taken for slow; a second one is left alone.
+func TestLongTaskIsMovedOnce(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 1, 2000)
+	o := newObserver()
+	o.times["batch"] = []timekeeper.Millis{2400, 2500, 2600}
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000}, 4000)
+	if progress, _, _ := o.input(c.state, 4000); !progress[keys[0]].Slow {
+		t.Errorf("a first run at an eighth of the usual pace is not judged as slow: %+v", progress[keys[0]])
+	}
+	c.apply(tracker.Command{Report: &tracker.Report{Worker: "w0", Epoch: 1, Ends: []tracker.End{{Number: 1, Run: keys[0], Kind: tracker.EndStopped}}}})
+	again := tracker.RunKey{Task: keys[0].Task, Attempt: 2}
+	c.apply(tracker.Command{Assign: &tracker.Assign{Starts: []tracker.Start{{Run: again, Worker: "w1", Epoch: 1}}}})
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{again: 20_000}, 9000)
+	if progress, _, _ := o.input(c.state, 9000); progress[again].Slow {
+		t.Errorf("a second run at the same pace is moved again: %+v", progress[again])
+	}
+}
--- a/internal/coordinator/pace.go
+++ b/internal/coordinator/pace.go
@@ -50,6 +50,9 @@
 		typical := median(peers)
 		return p.left > typical && float64(p.whole) > slowAgainstPeers*float64(typical)
 	}
+	if p.run.Attempt > 1 {
+		return false // it was as slow elsewhere: its work is long
+	}
 	return usual > 0 && p.left > usual && float64(p.whole) > slowAgainstQueue*float64(usual)
 }
 
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -31,7 +31,7 @@
 	byID  map[string]*room
 	runs  []placedRun // that hold room and are not being stopped
 
-	reserved int // workers kept for batch work in this plan
+	reserved int // workers kept for waiting batch work in this plan
 }
 
 // placedRun is a run with what its stop would cost and free.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -80,8 +80,9 @@
 		}
 		p, ok := b.placeFree(one)
 		if !ok {
-			b.makeRoomForRest(plan, d, i)
-			b.reserve(one)
+			if !b.makeRoomForRest(plan, d, i) {
+				b.reserve(one)
+			}
 			return
 		}
 		b.take(p)
@@ -89,22 +90,25 @@
 	}
 }
 
-func (b *board) makeRoomForRest(plan *tracker.Assign, d demand, from int) {
+// makeRoomForRest makes room for the tasks from a number on, until one gets none; it reports whether the first did.
+func (b *board) makeRoomForRest(plan *tracker.Assign, d demand, from int) bool {
 	for i := from; i < len(d.tasks); i++ {
 		one := d.withTasks(d.tasks[i : i+1])
 		one.promised = i
 		if !b.makeRoom(plan, one) {
-			return
+			return i > from
 		}
 	}
+	return true
 }
 
 // planGang starts all members, or makes room for all.
 func (b *board) planGang(plan *tracker.Assign, d demand) {
 	p, ok := b.placeFree(d)
 	if !ok {
-		b.makeRoom(plan, d)
-		b.reserve(d)
+		if !b.makeRoom(plan, d) {
+			b.reserve(d)
+		}
 		return
 	}
 	b.take(p)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -198,3 +198,23 @@
 		t.Errorf("the job is %v after all its times", j.Phase)
 	}
 }
+
+// TestOverdueGangStillBegins fills the cluster with small work that comes all the time; an urgent gang of one rack,
+// beyond any guarantee and too late to stop others, begins all the same. It fails where only batch work is waited for.
+func TestOverdueGangStillBegins(t *testing.T) {
+	p := newPlay(t, Plan, 6)
+	n := 0
+	p.run(30_000, func(now timekeeper.Millis) {
+		if now == 3000 {
+			p.submit("gang", "urgent", "other", 1000, gang(3, 4, 200))
+		}
+		if now%50 == 0 {
+			n++
+			p.submit(fmt.Sprintf("small-%03d", n), "plans", "other", 3600, tasks(1, 1, 1000))
+		}
+	})
+	j, _ := p.state.Job("gang")
+	if at, begun := p.first["gang"]; !begun || at-j.Submitted > 10_000 {
+		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
+	}
+}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -12,10 +12,12 @@
 // partly idle until their runs end.
 const reservedShare = 4
 
-// reserve keeps the workers that will first have room for a batch demand, so that smaller work behind it does not take
-// every piece that gets free: a task that needs a whole worker would else never begin on a busy day.
+// reserve keeps the workers that will first have room for a demand for which nothing is stopped, so that smaller work
+// behind it does not take every piece that gets free: a task that needs a whole worker, or a gang that needs a rack,
+// would else never begin on a busy day.
 func (b *board) reserve(d demand) {
-	if d.rank < rankBatch || d.rank >= rankWorthless || b.reserved >= b.mostReserved() {
+	batch := d.rank >= rankBatch
+	if d.rank >= rankWorthless || batch && b.reserved >= b.mostReserved() {
 		return
 	}
 	p := b.soonest(d)
@@ -23,6 +25,9 @@
 		return
 	}
 	b.promise(p)
+	if !batch {
+		return
+	}
 	seen := map[*room]bool{}
 	for _, s := range p {
 		if !seen[s.room] {
