Wait for the next leader in a planned stop; split the agent's session by call

Cause: a leader that stopped ended right after it had asked another voter to take over; the request could be lost with it. Found by reading. Change: it stays until it leads no more, a second at most. Tests: TestAnotherReplicaTakesOver and the others of platform/ pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -126,5 +127,25 @@
 	return &HelloResponse{c.reply()}, nil
 }
 
-// HandOver gives the leadership to another voter, before a planned stop.
-func (c *Coordinator) HandOver(ctx context.Context) { c.node.Transfer(ctx) }
+// handOverTimeout bounds the wait for another leader in a planned stop: an election.
+const handOverTimeout = time.Second
+
+// HandOver gives the leadership to another voter, before a planned stop, and returns once this replica leads no more.
+func (c *Coordinator) HandOver(ctx context.Context) {
+	if !c.node.Transfer(ctx) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for {
+		changed := c.node.Changed()
+		if c.node.Status().Role != replicator.Leader {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/coordinator"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
@@ -9,6 +10,13 @@
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
 
+const (
+	// orderTimeout bounds a start or stop; the runner is on the same host.
+	orderTimeout = 700 * time.Millisecond
+	// startTries is the number of starts without success after which the run is given back to the leader.
+	startTries = 6
+)
+
 // run is what a session knows of one run. It belongs to the session's goroutine.
 type run struct {
 	order   coordinator.Order
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -12,24 +12,10 @@
 )
 
 const (
-	// busyWait is how long a runner holds its answer while something runs: progress is looked at as often.
-	busyWait timekeeper.Millis = 1000
-	// idleWait is the longest that the platform allows.
-	idleWait timekeeper.Millis = 2000
-	// orderTimeout bounds a start or stop; the runner is on the same host.
-	orderTimeout = 700 * time.Millisecond
-	// holdExtra is what a hold may take beyond its wait.
-	holdExtra = 800 * time.Millisecond
 	// retryOrder is the pause before an order without success is sent again.
 	retryOrder timekeeper.Millis = 150
-	// startTries is the number of starts without success after which the run is given back to the leader.
-	startTries = 6
-	// muteAfter is the number of holds without an answer after which the leader is told not to grant leases.
-	muteAfter = 2
-	// watchTimeout bounds a watch with its retries; afterwards the watch carries fresh reports.
-	watchTimeout = 3 * time.Second
-	// reportTimeout bounds a report with its retries.
-	reportTimeout = 3 * time.Second
+	// orderResults bounds the orders whose results may wait; more wait in their goroutines.
+	orderResults = 64
 )
 
 // reading is a reading of the runner's clock, and when it arrived here.
@@ -104,9 +90,6 @@
 	}
 }
 
-// orderResults bounds the orders whose results may wait; more wait in their goroutines.
-const orderResults = 64
-
 // run works until the attachment is lost, the runner has another life, or ctx ends.
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -200,169 +183,3 @@
 	}
 	s.over = true
 }
-
-func (s *session) hold(ctx context.Context) {
-	s.holding = true
-	s.holds++
-	order := HoldOrder{Epoch: s.epoch, Forgotten: s.recorded, Lease: s.lease, Wait: s.holdWait()}
-	serial := s.holds
-	go func() {
-		call, cancel := context.WithTimeout(ctx, order.Wait.Duration()+holdExtra)
-		defer cancel()
-		listing, verdict, err := s.runner.Hold(call, order)
-		if err != nil {
-			pause(ctx, retryOrder.Duration())
-		}
-		s.held <- holdResult{serial, listing, s.agent.clock.Now(), verdict, err}
-	}()
-}
-
-// holdWait is zero while something waits to be seen in a list.
-func (s *session) holdWait() timekeeper.Millis {
-	if s.listed == 0 {
-		return 0
-	}
-	for _, r := range s.orders {
-		if r.awaitsListing() {
-			return 0
-		}
-	}
-	if len(s.orders) > 0 || len(s.listing.Running) > 0 {
-		return busyWait
-	}
-	return idleWait
-}
-
-func (s *session) takeListing(r holdResult) {
-	s.holding = false
-	switch {
-	case r.err != nil:
-		s.noteSilence(r.err)
-		return
-	case r.verdict == VerdictFenced, r.verdict == VerdictOtherLife, r.listing.Life.Born != 0 && r.listing.Life.Born != s.life.Born:
-		s.lose("the runner has another life or has seen a higher token")
-		return
-	case r.verdict != VerdictDone:
-		s.noteSilence(nil)
-		return
-	}
-	s.failures = 0
-	s.listed = r.serial
-	s.listing = r.listing
-	s.clock = reading{r.listing.Clock, r.arrived}
-	s.compare()
-}
-
-func (s *session) noteSilence(err error) {
-	s.failures++
-	if s.failures == muteAfter {
-		s.agent.log.Log(logger.RunnerCallFailed, logger.F("call", "hold"), logger.F("runner", s.life.ID), logger.F("error", err))
-	}
-	if a, _ := s.agent.announced(); a.Left {
-		s.agent.mu.Lock()
-		s.agent.signal()
-		s.agent.mu.Unlock()
-	}
-}
-
-func (s *session) lose(reason string) {
-	s.over = true
-	s.agent.log.Log(logger.AttachmentLost, logger.F("runner", s.life.ID), logger.F("epoch", s.epoch), logger.F("reason", reason))
-}
-
-func (s *session) watch(ctx context.Context) {
-	s.watching = true
-	a, _ := s.agent.announced()
-	r := &coordinator.WatchRequest{
-		Worker: s.agent.worker, Epoch: s.epoch, Seen: s.version,
-		Draining: s.draining(), Leaving: a.Leaving, Mute: s.failures >= muteAfter,
-	}
-	for _, running := range s.listing.Running {
-		r.Running = append(r.Running, coordinator.RunReport{Run: running.Run, Percent: running.Percent, Checkpoint: running.Checkpoint})
-	}
-	clock, sent := s.clock, s.agent.clock.Now()
-	go func() {
-		call, cancel := context.WithTimeout(ctx, watchTimeout)
-		defer cancel()
-		response, err := locator.Call[coordinator.WatchRequest, coordinator.WatchResponse](
-			call, s.agent.locator, coordinator.MethodWatch, locator.Limits{Hold: coordinator.HoldTime.Duration()}, r)
-		s.watched <- watchResult{response, err, leaseEnd(clock, sent, response.Lease)}
-	}()
-}
-
-// leaseEnd returns the end of a lease by the runner's clock. The lease counts from when it was asked for, and the
-// runner's clock was at least the reading when that arrived: the runner ends the lease no later than the leader does.
-func leaseEnd(clock reading, sent, lease timekeeper.Millis) timekeeper.Millis {
-	if lease == 0 {
-		return 0
-	}
-	return clock.value + (sent - clock.at) + lease
-}
-
-func (s *session) takeOrders(r watchResult) {
-	s.watching = false
-	if r.err != nil {
-		return // the locator has logged it; the next watch follows
-	}
-	if r.response.Lost {
-		s.lose("the leader gave the worker up, or another process attached")
-		return
-	}
-	s.lease = max(s.lease, r.lease)
-	s.recorded = max(s.recorded, r.response.Recorded)
-	if r.response.Version == s.version {
-		return
-	}
-	s.version, s.ordered = r.response.Version, true
-	s.replaceOrders(r.response.Orders)
-	s.compare()
-}
-
-func (s *session) report(ctx context.Context) {
-	ends := s.unreported()
-	if len(ends) == 0 {
-		return
-	}
-	s.reporting = true
-	r := &coordinator.ReportRequest{Report: tracker.Report{Worker: s.agent.worker, Epoch: s.epoch, Ends: ends}}
-	go func() {
-		call, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		response, err := locator.Call[coordinator.ReportRequest, coordinator.ReportResponse](call, s.agent.locator, coordinator.MethodReport, locator.Limits{}, r)
-		s.handed <- reportResult{ends, response.Lost, err}
-	}()
-}
-
-// unreported returns the ends that the runner lists, and those that only this session knows.
-func (s *session) unreported() []tracker.End {
-	var ends []tracker.End
-	for _, end := range s.listing.Finished {
-		if end.Number > max(s.reported, s.recorded) {
-			ends = append(ends, end)
-		}
-	}
-	for key, r := range s.orders {
-		if kind := r.missing(); kind != 0 {
-			ends = append(ends, tracker.End{Run: key, Kind: kind})
-		}
-	}
-	return ends
-}
-
-func (s *session) takeReceipt(r reportResult) {
-	s.reporting = false
-	if r.err != nil {
-		return // the ends are handed in again
-	}
-	if r.lost {
-		s.lose("the leader knows another attachment")
-		return
-	}
-	for _, end := range r.ends {
-		s.reported = max(s.reported, end.Number)
-		if o := s.orders[end.Run]; o != nil {
-			o.over = true
-		}
-	}
-	s.recorded = max(s.recorded, s.reported)
-}
