Wait for runs that are about to end

Change: a run whose rest is no longer than a stop counts as room that is being freed, and is no victim.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -71,7 +71,8 @@
 
 func (b *board) addRun(r *room, run tracker.Run, ranks map[modeler.JobID]int) {
 	key := run.Key.Task
-	if run.Stopping {
+	ending := run.Stopping || b.nearlyDone(run.Key)
+	if ending {
 		r.soon = r.soon.Plus(run.Need)
 	}
 	j, ok := b.in.State.Job(key.Job)
@@ -81,7 +82,7 @@
 	group := groupKey{key.Job, j.Instance(key)}
 	r.steps[group]++
 	rank, open := ranks[key.Job]
-	if run.Stopping || !open {
+	if ending || !open {
 		return
 	}
 	step := j.Steps[key.Step]
@@ -112,6 +113,11 @@
 	unsavedPerAttempt = 1.0
 )
 
+// nearlyDone reports whether a run ends by itself about as soon as a stop would end it.
+func (b *board) nearlyDone(key tracker.RunKey) bool {
+	return b.in.Progress[key].Percent > 0 && b.remaining(key) <= stopCost
+}
+
 // remaining estimates how long a run still takes.
 func (b *board) remaining(key tracker.RunKey) timekeeper.Millis {
 	j, ok := b.in.State.Job(key.Task.Job)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -218,3 +218,21 @@
 		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
 	}
 }
+
+// TestNearlyDoneRunsAreWaitedFor needs room for an urgent job within the guarantee while the only victims are about to
+// end: nothing is stopped, and the job begins as soon as they have.
+func TestNearlyDoneRunsAreWaitedFor(t *testing.T) {
+	p := newPlay(t, Plan, 2)
+	for i := range 2 {
+		p.submit(fmt.Sprintf("fill-%d", i), "checks", "other", 4000, tasks(8, 1, 4000))
+	}
+	p.run(3800, nil)
+	p.submit("rebuild", "urgent", "sure", 1000, gang(2, 4, 1000))
+	p.run(6000, nil)
+	if p.orders > 0 {
+		t.Errorf("%d runs were to be stopped that ended by themselves", p.orders)
+	}
+	if at, begun := p.first["rebuild"]; !begun || at > 4000+4*tick {
+		t.Errorf("begun %v at %v, want at 4000ms", begun, at)
+	}
+}
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -27,6 +27,7 @@
 	stops  map[tracker.RunKey]timekeeper.Millis // when an ordered stop is carried out
 	first  map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step had begun
 	done   map[modeler.JobID]timekeeper.Millis
+	orders int // stops ordered
 	lost   int // core-milliseconds, in thousandths, of runs that were stopped
 }
 
@@ -87,6 +88,7 @@
 		before := p.state
 		plan := p.policy(p.input())
 		p.checkPlan(before, plan)
+		p.orders += len(plan.Stops)
 		p.apply(tracker.Command{Assign: &plan})
 		p.noteRuns()
 	}
