--- a/internal/commander/adapter.go
+++ b/internal/commander/adapter.go
@@ -14,22 +14,26 @@
 	Run func(role string, metricsPort int) (int, error)
 }
 
-// defaultMetricsPort serves the metrics where no port is given.
-const defaultMetricsPort = 9100
+const (
+	metricsPortName = "metrics-port"
+	metricsPortEnv  = "LAGOONMILL_METRICS_PORT"
+	metricsPortHelp = "The port of this machine that serves the metrics."
+	// defaultMetricsPort serves the metrics where no port is given.
+	defaultMetricsPort = 9100
+)
 
 // command returns the command that runs a role; code gets the exit code.
 func (a Adapter) command(code *int) *cli.Command {
-	const port = "metrics-port"
 	return &cli.Command{
 		Name: a.Name, Usage: a.Usage, ArgsUsage: "ROLE",
 		Flags: []cli.Flag{&cli.IntFlag{
-			Name: port, Value: defaultMetricsPort, Usage: "The port that serves the metrics.", Sources: cli.EnvVars("LAGOONMILL_METRICS_PORT"),
+			Name: metricsPortName, Value: defaultMetricsPort, Usage: metricsPortHelp, Sources: cli.EnvVars(metricsPortEnv),
 		}},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
 				return usageError("one role is wanted, got %d arguments", c.Args().Len())
 			}
-			ended, err := a.Run(c.Args().First(), c.Int(port))
+			ended, err := a.Run(c.Args().First(), c.Int(metricsPortName))
 			if err != nil {
 				return &exitError{ExitUsage, err}
 			}
--- /dev/null
+++ b/internal/executor/main_test.go
@@ -0,0 +1,13 @@
+package executor
+
+import (
+	"os"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Fix(1, 500)
+	os.Exit(m.Run())
+}
