Keep a gang in one rack beside workers to avoid

Cause (found by reading): where the workers to avoid left no rack whole, a gang that wants one rack was spread, which makes it far slower than a doubtful worker does. The choice of racks stood three times. Change: one function gives the sets of workers of which one must hold a demand.

--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -46,25 +46,16 @@
 	return p, ok
 }
 
-// place finds a place for all tasks of a demand. A gang that wants one rack gets the tightest one that holds it;
-// only a gang that no rack could ever hold is spread.
+// place finds a place for all tasks of a demand, in the tightest group that holds it.
 func (b *board) place(d demand, give offer) (placement, bool) {
-	rooms := b.allowed(d)
-	if !d.spec().Gang || !d.spec().OneRack {
-		return fill(d, rooms, give)
-	}
-	racks := byRack(rooms)
-	if !anyRackHolds(d, racks) {
-		return fill(d, rooms, give)
-	}
 	var best placement
 	bestLeft := 0
-	for _, rack := range racks {
-		p, ok := fill(d, rack, give)
+	for _, group := range b.candidateSets(d) {
+		p, ok := fill(d, group, give)
 		if !ok {
 			continue
 		}
-		left := leftIn(rack, give)
+		left := leftIn(group, give)
 		if best == nil || left < bestLeft {
 			best, bestLeft = p, left
 		}
@@ -72,24 +63,36 @@
 	return best, best != nil
 }
 
-// allowed returns the rooms that may hold the demand's tasks. Workers to avoid, and the one on which a task failed
-// last, are left out while others could hold it.
-func (b *board) allowed(d demand) []*room {
-	var good, poor []*room
+// candidateSets returns the sets of rooms of which one must hold the whole demand: the racks, for a gang that wants one, and
+// else all rooms together. Workers to avoid, and the one on which a task failed last, are left out while others could
+// hold it; a gang that no rack could ever hold is spread.
+func (b *board) candidateSets(d demand) [][]*room {
+	good, all := b.allowed(d)
+	if d.spec().Gang && d.spec().OneRack {
+		for _, rooms := range [][]*room{good, all} {
+			if racks := byRack(rooms); anyRackHolds(d, racks) {
+				return racks
+			}
+		}
+	}
+	if couldHold(d, good) {
+		return [][]*room{good}
+	}
+	return [][]*room{all}
+}
+
+// allowed returns the rooms that may hold the demand's tasks: those that are good for it, and all.
+func (b *board) allowed(d demand) (good, all []*room) {
 	for _, r := range b.rooms {
 		if !d.allows(r.worker) {
 			continue
 		}
-		if r.avoid || d.shuns(r.worker.Name) {
-			poor = append(poor, r)
-			continue
+		all = append(all, r)
+		if !r.avoid && !d.shuns(r.worker.Name) {
+			good = append(good, r)
 		}
-		good = append(good, r)
-	}
-	if couldHold(d, good) {
-		return good
 	}
-	return append(good, poor...)
+	return good, all
 }
 
 // couldHold reports whether the demand would fit if nothing else ran.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -236,3 +236,20 @@
 		t.Errorf("begun %v at %v, want at 4000ms", begun, at)
 	}
 }
+
+// TestGangStaysInOneRackBesideAvoidedWorkers avoids one worker of each rack: a gang that needs a whole rack takes one
+// with the worker to avoid, since across racks it would be far slower.
+func TestGangStaysInOneRackBesideAvoidedWorkers(t *testing.T) {
+	p := newPlay(t, Plan, 6)
+	p.submit("gang", "plans", "other", 1000, gang(3, 8, 1000))
+	in := p.input()
+	in.Avoid = map[string]bool{workerName(0): true, workerName(3): true}
+	racks := map[string]int{}
+	for _, start := range Plan(in).Starts {
+		w, _ := p.state.Worker(start.Worker)
+		racks[w.Profile.Rack()]++
+	}
+	if len(racks) != 1 {
+		t.Errorf("members by rack: %v, want all in one", racks)
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -53,15 +53,8 @@
 
 // cheapest finds the place for which least work is lost, with the runs to stop for it; nil if there is none.
 func (b *board) cheapest(d demand) *search {
-	rooms := b.allowed(d)
-	groups := [][]*room{rooms}
-	if d.spec().Gang && d.spec().OneRack {
-		if racks := byRack(rooms); anyRackHolds(d, racks) {
-			groups = racks
-		}
-	}
 	var best *search
-	for _, group := range groups {
+	for _, group := range b.candidateSets(d) {
 		s := b.newSearch(d, group)
 		if s.run() && (best == nil || s.cost < best.cost) {
 			best = s
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -41,16 +41,9 @@
 
 // soonest finds the place that has room first if nothing else begins there; nil if there is none.
 func (b *board) soonest(d demand) placement {
-	rooms := b.allowed(d)
-	groups := [][]*room{rooms}
-	if d.spec().Gang && d.spec().OneRack {
-		if racks := byRack(rooms); anyRackHolds(d, racks) {
-			groups = racks
-		}
-	}
 	var best placement
 	bestAt := timekeeper.Millis(0)
-	for _, group := range groups {
+	for _, group := range b.candidateSets(d) {
 		p, at := b.soonestIn(d, group)
 		if p != nil && (best == nil || at < bestAt) {
 			best, bestAt = p, at
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -418,17 +418,6 @@
 	}
 }
 
-func (n *Node) install(s journaler.Snapshot) error {
-	if err := n.journal.SaveSnapshot(s); err != nil {
-		return fmt.Errorf("save received snapshot: %w", err)
-	}
-	if err := n.machine.Restore(s.Index, s.Data); err != nil {
-		return fmt.Errorf("restore received snapshot: %w", err)
-	}
-	n.applied, n.snapshotAt = s.Index, s.Index
-	return nil
-}
-
 func (n *Node) apply(entries []journaler.Entry) {
 	for _, e := range entries {
 		var value any
@@ -475,43 +464,3 @@
 		done <- outcome{err: err}
 	}
 }
-
-// startSnapshot encodes and writes a snapshot beside the node's work; adopt finishes it.
-func (n *Node) startSnapshot() {
-	if n.snapshoting || n.applied-n.snapshotAt < n.every {
-		return
-	}
-	n.snapshoting = true
-	term, _ := n.core.log.term(n.applied)
-	s := journaler.Snapshot{Index: n.applied, Term: term, Members: n.core.log.membershipAt(n.applied).encode()}
-	encode := n.machine.Capture()
-	go func() {
-		var err error
-		if s.Data, err = encode(); err == nil {
-			err = n.journal.PrepareSnapshot(s)
-		}
-		n.snapshots <- snapshotDone{s, err}
-	}()
-}
-
-func (n *Node) adopt(d snapshotDone) error {
-	n.snapshoting = false
-	if errors.Is(d.err, journaler.ErrDiskFull) {
-		n.snapshotAt = n.applied // the next one is tried after as many entries again
-		return nil
-	}
-	if d.err != nil {
-		return d.err
-	}
-	if d.snapshot.Index <= n.journal.Snapshot().Index {
-		return nil // a received snapshot overtook it
-	}
-	if err := n.journal.AdoptSnapshot(d.snapshot); err != nil {
-		return err
-	}
-	n.snapshotAt = d.snapshot.Index
-	if behind := n.journal.Entries(); len(behind) > 0 {
-		n.core.Compact(behind[0].Index)
-	}
-	return nil
-}
