Grant no lease to a worker that is being given up

Cause (found by reading): between the leader's judgement that a worker's leases have ended and the log's entry of it, the agent could call again, get a lease and begin a run that the same entry gives to another worker. Ruled out: runs that go on (their lease has ended by the runner's clock); orders of other attachments (fenced). Change: the judgement ends the attachment's leases at once; the next attachment gets them. Test: TestExpiredAttachmentGetsNoLease; before, expiry was a question without effect.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -22,8 +22,7 @@
 	if err != nil {
 		return &AttachResponse{Reply: c.notLeader()}, nil
 	}
-	now := c.clock.Now()
-	c.leases.grant(a.Worker, now) // nothing may be thought lost before the agent had time to watch
+	c.leases.grant(a.Worker, answer.Epoch, c.clock.Now()) // nothing may be thought lost before the agent had time to watch
 	c.log.Log(logger.WorkerAttached, logger.F("worker", a.Worker), logger.F("runner", a.Life.ID), logger.F("born", int(a.Life.Born)),
 		logger.F("epoch", answer.Epoch), logger.F("accepted", answer.Code == tracker.Accepted), logger.F("zone", a.Profile.Zone),
 		logger.F("rack", a.Profile.Rack()), logger.F("accelerators", a.Profile.Capacity.Accelerators), logger.F("index", answer.Index))
@@ -89,8 +88,11 @@
 	if !ok || w.Gone || w.Epoch != r.Epoch {
 		return &WatchResponse{Reply: c.reply(), Lost: true}
 	}
-	response := &WatchResponse{Reply: c.reply(), Version: w.Changed, Recorded: w.Recorded}
-	response.Lease = c.leases.grant(r.Worker, c.clock.Now())
+	lease, ok := c.leases.grant(r.Worker, r.Epoch, c.clock.Now())
+	if !ok {
+		return &WatchResponse{Reply: c.reply(), Version: r.Seen} // the worker is being given up
+	}
+	response := &WatchResponse{Reply: c.reply(), Version: w.Changed, Recorded: w.Recorded, Lease: lease}
 	if w.Changed == r.Seen {
 		return response
 	}
--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -80,7 +80,7 @@
 	c.log.Log(logger.JobUncertain, logger.F("job", string(id)), logger.F("error", err))
 	reply := c.notLeader()
 	reply.Standing.Uncertain = true
-	return &CallResponse{Reply: reply, Outcome: OutcomeUncertain}
+	return &CallResponse{Reply: reply}
 }
 
 func (c *Coordinator) call(ctx context.Context, r *CallRequest) (*CallResponse, error) {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -62,17 +62,17 @@
 	const span, taken timekeeper.Millis = 5000, 1000
 	l := newLeases(span)
 	l.takeOver(taken)
-	if l.ended("w", taken+span) {
+	if l.expire("w", 1, taken+span) {
 		t.Error("a worker counts as lost while an earlier leader's lease may last")
 	}
-	if !l.ended("w", taken+span+span/50+leaseMargin+1) {
+	if !l.expire("w", 1, taken+span+span/50+leaseMargin+1) {
 		t.Error("a worker that nobody heard of keeps its runs for good")
 	}
-	l.grant("w", 20_000)
-	if l.ended("w", 20_000+span) {
+	l.grant("w", 2, 20_000)
+	if l.expire("w", 2, 20_000+span) {
 		t.Error("a worker counts as lost within its lease by a slow clock")
 	}
-	if !l.ended("w", 20_000+span+span/50+leaseMargin+1) {
+	if !l.expire("w", 2, 20_000+span+span/50+leaseMargin+1) {
 		t.Error("a lease does not end")
 	}
 	if l.silent("w", 20_500, 1000) || !l.silent("w", 21_500, 1000) {
@@ -184,3 +184,19 @@
 		t.Errorf("a task that no worker can hold got %+v", refusal)
 	}
 }
+
+// TestExpiredAttachmentGetsNoLease has an agent call again just after its worker was judged as lost, before that is in
+// the log: with a lease it might begin runs that are begun elsewhere. Another attachment gets one.
+func TestExpiredAttachmentGetsNoLease(t *testing.T) {
+	l := newLeases(5000)
+	l.grant("w", 3, 0)
+	if !l.expire("w", 3, 6000) {
+		t.Fatal("the lease does not end")
+	}
+	if _, ok := l.grant("w", 3, 6001); ok {
+		t.Error("a lease was granted to an attachment that is being given up")
+	}
+	if _, ok := l.grant("w", 4, 6002); !ok {
+		t.Error("the next attachment gets no lease")
+	}
+}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -84,7 +84,7 @@
 // detachLost gives up workers whose leases have ended.
 func (c *Coordinator) detachLost(ctx context.Context) {
 	for _, w := range c.machine.State().Workers() {
-		if w.Gone || !c.leases.ended(w.Name, c.clock.Now()) {
+		if w.Gone || !c.leases.expire(w.Name, w.Epoch, c.clock.Now()) {
 			continue
 		}
 		if err := c.detach(ctx, w.Name, w.Epoch, "its lease has ended"); err != nil {
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -26,10 +26,13 @@
 	taken timekeeper.Millis            // when this replica took the leadership
 	ends  map[string]timekeeper.Millis // by worker, of the last lease granted here
 	heard map[string]timekeeper.Millis // by worker, when its agent last called
+	over  map[string]uint64            // by worker, the attachment that gets no lease any more
 }
 
 func newLeases(span timekeeper.Millis) *leases {
-	return &leases{span: span, ends: map[string]timekeeper.Millis{}, heard: map[string]timekeeper.Millis{}}
+	return &leases{
+		span: span, ends: map[string]timekeeper.Millis{}, heard: map[string]timekeeper.Millis{}, over: map[string]uint64{},
+	}
 }
 
 // takeOver forgets what was granted before this replica led.
@@ -39,15 +42,20 @@
 	l.taken = now
 	clear(l.ends)
 	clear(l.heard)
+	clear(l.over)
 }
 
-// grant notes a lease; the holder counts it from when it asked, which was earlier.
-func (l *leases) grant(worker string, now timekeeper.Millis) timekeeper.Millis {
+// grant notes a lease of an attachment and returns its span; the holder counts it from when it asked, which was
+// earlier. It returns false for an attachment that expire has ended.
+func (l *leases) grant(worker string, epoch uint64, now timekeeper.Millis) (timekeeper.Millis, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ends[worker] = l.longest(now)
 	l.heard[worker] = now
-	return l.span
+	if ended, known := l.over[worker]; known && ended >= epoch {
+		return 0, false
+	}
+	l.ends[worker] = l.longest(now)
+	return l.span, true
 }
 
 func (l *leases) hear(worker string, now timekeeper.Millis) {
@@ -61,15 +69,20 @@
 	return granted + l.span + timekeeper.Millis(clockDrift*float64(l.span)) + leaseMargin
 }
 
-// ended reports whether every lease of the worker has ended for certain.
-func (l *leases) ended(worker string, now timekeeper.Millis) bool {
+// expire reports whether every lease of the worker has ended for certain. From then on the attachment gets no other one,
+// so that its runs may be given up.
+func (l *leases) expire(worker string, epoch uint64, now timekeeper.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end, granted := l.ends[worker]
 	if !granted {
 		end = l.longest(l.taken)
 	}
-	return now > end
+	if now <= end {
+		return false
+	}
+	l.over[worker] = epoch
+	return true
 }
 
 // silent reports whether the worker's agent has not called for a span.
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -44,7 +44,6 @@
 	OutcomeUnknownJob            // no such job exists
 	OutcomeInvalid               // the job cannot be read or can never run
 	OutcomeRefused               // the job was not stored and never runs; RetryAfter tells when to come again
-	OutcomeUncertain             // the call may or may not take effect
 	OutcomeNotAcceptable         // the configuration is invalid
 	OutcomeUnsupported           // the job was not stored and never runs: the product cannot run such a job
 )
