Log only runs that began, and why a run is stopped

Cause (found by reading): a start that the state machine left out as no longer fitting was logged as assigned, and a stop because a worker leaves as one for room. Test: TestOnlyWhatBeganIsLogged.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -76,7 +76,7 @@
 		c.forgot = now
 		command := tracker.Command{Forget: &tracker.Forget{Before: c.wall.Now() - keepEnded}}
 		if _, err := c.propose(ctx, command); err != nil {
-			c.log.Log(logger.ProposalFailed, logger.F("error", err)) // the next turn tries again
+			c.log.Log(logger.ProposalFailed, logger.F("error", err)) // the jobs are dropped the next time
 		}
 	}
 }
@@ -122,22 +122,50 @@
 	return silent
 }
 
+// logPlan tells what a plan came to. A start that no longer fitted when it was applied is left out.
 func (c *Coordinator) logPlan(in planner.Input, plan tracker.Assign, index uint64) {
+	after := c.machine.State()
 	for _, s := range plan.Starts {
+		if !began(after, s.Run) {
+			continue
+		}
 		c.log.Log(logger.RunAssigned, logger.F("job", string(s.Run.Task.Job)), logger.F("run", s.Run.String()),
 			logger.F("worker", s.Worker), logger.F("epoch", s.Epoch), logger.F("resumes", s.Checkpoint != ""),
 			logger.F("state", in.State.Index), logger.F("index", index))
 	}
 	for _, key := range plan.Stops {
 		p := in.Progress[key]
-		reason := "room"
 		if p.Stalled || p.Slow {
-			reason = "no progress"
 			c.judgeRun(in.State, key)
 		}
-		c.log.Log(logger.RunStopping, logger.F("job", string(key.Task.Job)), logger.F("run", key.String()), logger.F("reason", reason),
-			logger.F("percent", p.Percent), logger.F("running", p.Running), logger.F("state", in.State.Index), logger.F("index", index))
+		c.log.Log(logger.RunStopping, logger.F("job", string(key.Task.Job)), logger.F("run", key.String()),
+			logger.F("reason", stopReason(in, key)), logger.F("percent", p.Percent), logger.F("running", p.Running),
+			logger.F("state", in.State.Index), logger.F("index", index))
+	}
+}
+
+// began reports whether a run was assigned, whatever has become of it since.
+func began(s tracker.State, run tracker.RunKey) bool {
+	j, ok := s.Job(run.Task.Job)
+	if !ok {
+		return false
+	}
+	t, ok := j.Task(run.Task)
+	return ok && t.Attempt >= run.Attempt
+}
+
+// stopReason returns why a plan stops a run.
+func stopReason(in planner.Input, key tracker.RunKey) string {
+	if p := in.Progress[key]; p.Stalled || p.Slow {
+		return "no progress"
+	}
+	if j, ok := in.State.Job(key.Task.Job); ok {
+		t, _ := j.Task(key.Task)
+		if w, _ := in.State.Worker(t.Worker); w.Draining {
+			return "worker leaves"
+		}
 	}
+	return "room"
 }
 
 func (c *Coordinator) judgeRun(s tracker.State, key tracker.RunKey) {
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -156,3 +156,16 @@
 		t.Errorf("a second run at the same pace is moved again: %+v", progress[again])
 	}
 }
+
+// TestOnlyWhatBeganIsLogged tells starts that took effect from those that no longer fitted.
+func TestOnlyWhatBeganIsLogged(t *testing.T) {
+	c := newCluster(t, 2)
+	keys := c.runJob("a", 2, 1000)
+	later := keys[1]
+	later.Attempt = 2
+	for run, want := range map[tracker.RunKey]bool{keys[0]: true, keys[1]: true, later: false} {
+		if got := began(c.state, run); got != want {
+			t.Errorf("%v began: %v, want %v", run, got, want)
+		}
+	}
+}
