--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -158,19 +158,26 @@
 // of the same queue that needs a whole worker begins all the same. It fails where every free piece is given away.
 func TestWholeWorkerTaskIsNotStarved(t *testing.T) {
 	p := newPlay(t, Plan, 4)
+	beginsBesideSmallWork(t, p, 100, func() { p.submit("large", "plans", "other", 3000, tasks(1, 8, 3000)) })
+}
+
+// beginsBesideSmallWork hands in a task of one accelerator after each pause, which together are more than fits, and once
+// the cluster is full the job named "large"; it fails unless all tasks of that have begun within ten seconds.
+func beginsBesideSmallWork(t *testing.T, p *play, pause timekeeper.Millis, submitLarge func()) {
+	t.Helper()
+	const full, patience timekeeper.Millis = 3000, 10_000
 	n := 0
 	p.run(30_000, func(now timekeeper.Millis) {
-		if now == 3000 {
-			p.submit("whole", "plans", "other", 3000, tasks(1, 8, 3000))
+		if now == full {
+			submitLarge()
 		}
-		if now%100 == 0 {
+		if now%pause == 0 {
 			n++
 			p.submit(fmt.Sprintf("small-%03d", n), "plans", "other", 3600, tasks(1, 1, 1000))
 		}
 	})
-	j, _ := p.state.Job("whole")
-	if at, begun := p.first["whole"]; !begun || at-j.Submitted > 10_000 {
-		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
+	if at, begun := p.first["large"]; !begun || at-full > patience {
+		t.Errorf("begun %v, at %v; want within %v of %v", begun, at, patience, full)
 	}
 }
 
@@ -203,20 +210,7 @@
 // beyond any guarantee and too late to stop others, begins all the same. It fails where only batch work is waited for.
 func TestOverdueGangStillBegins(t *testing.T) {
 	p := newPlay(t, Plan, 6)
-	n := 0
-	p.run(30_000, func(now timekeeper.Millis) {
-		if now == 3000 {
-			p.submit("gang", "urgent", "other", 1000, gang(3, 4, 200))
-		}
-		if now%50 == 0 {
-			n++
-			p.submit(fmt.Sprintf("small-%03d", n), "plans", "other", 3600, tasks(1, 1, 1000))
-		}
-	})
-	j, _ := p.state.Job("gang")
-	if at, begun := p.first["gang"]; !begun || at-j.Submitted > 10_000 {
-		t.Errorf("begun %v, after %v; want within three times the longest run", begun, at-j.Submitted)
-	}
+	beginsBesideSmallWork(t, p, tick, func() { p.submit("large", "urgent", "other", 1000, gang(3, 4, 200)) })
 }
 
 // TestNearlyDoneRunsAreWaitedFor needs room for an urgent job within the guarantee while the only victims are about to
