Learn run times from ends, keep more workers for waiting batch work

Change: agents tell how long a run took, the log keeps a record of it for each queue, the planner expects something between the usual time and the declaration, by how far declarations were off. Half of the workers, not a quarter, are kept for waiting batch work; 0.8 of an expected chain counts as surely needed. The leader's own memory of run times is gone, a new leader knows the same.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -128,13 +128,10 @@
 
 func (c *Coordinator) noteEnd(worker string, end tracker.End, index uint64) {
 	c.log.Log(logger.RunEnded, logger.F("job", string(end.Run.Task.Job)), logger.F("run", end.Run.String()),
-		logger.F("worker", worker), logger.F("end", end.Kind.String()), logger.F("number", end.Number), logger.F("index", index))
+		logger.F("worker", worker), logger.F("end", end.Kind.String()), logger.F("number", end.Number), logger.F("took", end.Took), logger.F("index", index))
 	c.meter.Count("runs_ended", "", worker, end.Kind.String())
 	switch end.Kind {
 	case tracker.EndDone:
-		if j, ok := c.machine.State().Job(end.Run.Task.Job); ok {
-			c.observer.finish(j.Queue, end.Run, c.clock.Now())
-		}
 		c.observer.judge(worker, true, c.clock.Now())
 	case tracker.EndFailed, tracker.EndUnbegun:
 		c.judgeBad(worker, end.Kind.String()+" run")
--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -43,14 +43,12 @@
 	mu      sync.Mutex
 	runs    map[tracker.RunKey]*observed
 	workers map[string]*health
-	leaving map[string]timekeeper.Millis   // by worker, when it may be gone
-	times   map[string][]timekeeper.Millis // by queue, how long its last finished runs took
+	leaving map[string]timekeeper.Millis // by worker, when it may be gone
 }
 
 func newObserver() *observer {
 	return &observer{
 		runs: map[tracker.RunKey]*observed{}, workers: map[string]*health{}, leaving: map[string]timekeeper.Millis{},
-		times: map[string][]timekeeper.Millis{},
 	}
 }
 
@@ -157,7 +155,7 @@
 	}
 	o.runs = kept
 	for _, p := range paces {
-		if p.slow(paces, o.usual(p.queue)) {
+		if p.slow(paces, s.Record(p.queue).Usual()) {
 			judged := progress[p.run]
 			judged.Slow = true
 			progress[p.run] = judged
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -57,6 +57,17 @@
 	return keys
 }
 
+// endedRuns runs jobs of one task each, which took the given times and have ended.
+func (c *cluster) endedRuns(took ...timekeeper.Millis) {
+	c.t.Helper()
+	for i, t := range took {
+		key := c.runJob(modeler.JobID(fmt.Sprintf("ended-%d", i)), 1, 1000)[0]
+		c.apply(tracker.Command{Report: &tracker.Report{
+			Worker: "w0", Epoch: 1, Ends: []tracker.End{{Run: key, Kind: tracker.EndDone, Took: t}},
+		}})
+	}
+}
+
 // watchRuns reports percentages that rise at a pace of one task a number of milliseconds, until the time.
 func watchRuns(o *observer, s tracker.State, wholes map[tracker.RunKey]timekeeper.Millis, until timekeeper.Millis) {
 	for now := timekeeper.Millis(1); now <= until; now += 500 {
@@ -143,7 +154,7 @@
 	c := newCluster(t, 2)
 	keys := c.runJob("a", 1, 2000)
 	o := newObserver()
-	o.times["batch"] = []timekeeper.Millis{2400, 2500, 2600}
+	c.endedRuns(2400, 2500, 2600, 2500)
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000}, 4000)
 	if progress, _, _ := o.input(c.state, 4000); !progress[keys[0]].Slow {
 		t.Errorf("a first run at an eighth of the usual pace is not judged as slow: %+v", progress[keys[0]])
--- a/internal/coordinator/pace.go
+++ b/internal/coordinator/pace.go
@@ -17,8 +17,6 @@
 	slowAgainstQueue = 4.5
 	// fewestPeers is the number of others that a comparison needs.
 	fewestPeers = 2
-	// keptTimes is the number of finished runs of a queue that are remembered.
-	keptTimes = 32
 )
 
 // pace is how long a run would take as a whole, by what it has done so far; zero where that is not known.
@@ -72,26 +70,3 @@
 	sorted := slices.Sorted(slices.Values(list))
 	return sorted[len(sorted)/2]
 }
-
-// finish remembers how long a finished run took.
-func (o *observer) finish(queue string, key tracker.RunKey, now timekeeper.Millis) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	run := o.runs[key]
-	if run == nil || run.first == 0 || run.resumed > 0 {
-		return
-	}
-	list := append(o.times[queue], now-run.first)
-	if len(list) > keptTimes {
-		list = list[1:]
-	}
-	o.times[queue] = list
-}
-
-// usual returns how long a run of a queue usually takes, or zero where too little is known; the caller holds mu.
-func (o *observer) usual(queue string) timekeeper.Millis {
-	if len(o.times[queue]) < fewestPeers {
-		return 0
-	}
-	return median(o.times[queue])
-}
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -33,6 +33,9 @@
 	var ends []tracker.End
 	for _, end := range s.listing.Finished {
 		if end.Number > max(s.reported, s.recorded) {
+			if r := s.orders[end.Run]; r != nil {
+				end.Took = r.took
+			}
 			ends = append(ends, end)
 		}
 	}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -31,6 +31,8 @@
 	busy    bool              // an order is on its way
 	tries   int               // starts without success
 	next    timekeeper.Millis // no order is sent before this time
+	began   timekeeper.Millis // when the only start that was sent was confirmed; zero: not seen
+	took    timekeeper.Millis // from then to the list that first held its end
 }
 
 // settled reports whether no order has to be sent for the run.
@@ -113,12 +115,20 @@
 	}
 	for _, end := range s.listing.Finished {
 		if r := s.orders[end.Run]; r != nil {
-			r.ended = true
+			r.noteEnd(s.clock.at)
 		}
 	}
 	return strays
 }
 
+// noteEnd notes that a list which arrived at the given time holds the run's end.
+func (r *run) noteEnd(arrived timekeeper.Millis) {
+	r.ended = true
+	if r.began > 0 && r.took == 0 {
+		r.took = arrived - r.began
+	}
+}
+
 // advance sends the order that a run needs next.
 func (s *session) advance(ctx context.Context, r *run, draining bool, now timekeeper.Millis) {
 	if r.busy || now < r.next || r.settled() || r.awaitsListing() {
@@ -184,6 +194,9 @@
 func (s *session) takeStarted(r *run, o orderResult) {
 	if o.err == nil && o.verdict == VerdictDone {
 		r.started = true
+		if r.tries == 0 {
+			r.began = s.agent.clock.Now()
+		}
 		s.agent.log.Log(logger.RunStarted, logger.F("job", string(r.order.Run.Task.Job)), logger.F("run", r.order.Run.String()), logger.F("epoch", s.epoch))
 		return
 	}
--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
@@ -136,6 +138,41 @@
 	return (s.Count + atOnce - 1) / atOnce
 }
 
+// WithEstimates returns a copy in which each step has the estimate that what it declares leads to.
+func (j Job) WithEstimates(estimate func(declared timekeeper.Millis) timekeeper.Millis) Job {
+	j.Steps = slices.Clone(j.Steps)
+	for i := range j.Steps {
+		j.Steps[i].Estimate = estimate(j.Steps[i].Estimate)
+	}
+	return j
+}
+
+// Shape describes the steps for logs: tasks times accelerators and cores of each, how they run, and what they wait for.
+func (j Job) Shape() string {
+	parts := make([]string, len(j.Steps))
+	for i, s := range j.Steps {
+		parts[i] = s.shape()
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (s Step) shape() string {
+	text := fmt.Sprintf("%dx%da%dm", s.Count, s.Need.Accelerators, s.Need.MilliCores)
+	switch {
+	case s.Gang && s.OneRack:
+		text += " rack-gang"
+	case s.Gang:
+		text += " gang"
+	}
+	if s.Checkpointing {
+		text += " checkpointing"
+	}
+	if len(s.After) > 0 {
+		text += fmt.Sprintf(" after%v", s.After)
+	}
+	return text
+}
+
 // Accelerators returns what all steps of one occurrence need together, as guarantees count it.
 func (j Job) Accelerators() int {
 	n := 0
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -28,6 +28,8 @@
 // board is the state of a plan in the making; it belongs to one call of Plan.
 type board struct {
 	in     Input
+	order  []candidate                 // unfinished jobs in the order in which they are served
+	jobs   map[modeler.JobID]candidate // the same, by id
 	rooms  []*room
 	runs   map[tracker.RunKey]*placedRun // that hold room and are not being stopped
 	groups map[groupKey][]*placedRun     // the same, by group
@@ -50,11 +52,11 @@
 
 func newBoard(in Input) *board {
 	b := &board{
-		in: in, runs: map[tracker.RunKey]*placedRun{}, groups: map[groupKey][]*placedRun{}, full: map[fullKey]bool{},
+		in: in, order: rank(in), jobs: map[modeler.JobID]candidate{},
+		runs: map[tracker.RunKey]*placedRun{}, groups: map[groupKey][]*placedRun{}, full: map[fullKey]bool{},
 	}
-	ranks := map[modeler.JobID]int{}
-	for _, c := range rank(in) {
-		ranks[c.job.ID] = c.rank
+	for _, c := range b.order {
+		b.jobs[c.job.ID] = c
 	}
 	for _, w := range in.State.Workers() {
 		if !w.Usable() || in.Silent[w.Name] {
@@ -63,13 +65,13 @@
 		r := &room{worker: w, rack: w.Profile.Rack(), free: w.Free(), soon: w.Free(), avoid: in.Avoid[w.Name], steps: map[groupKey]int{}}
 		b.rooms = append(b.rooms, r)
 		for _, run := range w.Runs {
-			b.addRun(r, run, ranks)
+			b.addRun(r, run)
 		}
 	}
 	return b
 }
 
-func (b *board) addRun(r *room, run tracker.Run, ranks map[modeler.JobID]int) {
+func (b *board) addRun(r *room, run tracker.Run) {
 	key := run.Key.Task
 	ending := run.Stopping || b.nearlyDone(run.Key)
 	if ending {
@@ -81,13 +83,13 @@
 	}
 	group := groupKey{key.Job, j.Instance(key)}
 	r.steps[group]++
-	rank, open := ranks[key.Job]
+	c, open := b.jobs[key.Job]
 	if ending || !open {
 		return
 	}
 	step := j.Steps[key.Step]
 	placed := &placedRun{
-		run: run, room: r, rank: rank, loss: b.loss(run, step), group: group, gang: step.Gang, fixed: step.LongRunning,
+		run: run, room: r, rank: c.rank, loss: b.loss(run, step), group: group, gang: step.Gang, fixed: step.LongRunning,
 	}
 	b.runs[run.Key] = placed
 	b.groups[group] = append(b.groups[group], placed)
@@ -120,7 +122,7 @@
 
 // remaining estimates how long a run still takes.
 func (b *board) remaining(key tracker.RunKey) timekeeper.Millis {
-	j, ok := b.in.State.Job(key.Task.Job)
+	c, ok := b.jobs[key.Task.Job]
 	if !ok {
 		return 0
 	}
@@ -128,7 +130,7 @@
 	if p.Percent > 0 && p.Running > 0 {
 		return p.Running * timekeeper.Millis(100-p.Percent) / timekeeper.Millis(p.Percent)
 	}
-	return j.Steps[key.Task.Step].Estimate
+	return max(c.job.Steps[key.Task.Step].Estimate-p.Running, 0)
 }
 
 // stop orders the end of a run and of the gang it belongs to.
--- /dev/null
+++ b/internal/planner/day_test.go
@@ -0,0 +1,406 @@
+package planner
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// kind is one kind of job as the users describe theirs.
+type kind struct {
+	queue        string
+	perSecond    float64 // on an ordinary day
+	worth, late  float64 // to the caller, in time and after that
+	work         timekeeper.Millis
+	workSpread   float64
+	mostWork     timekeeper.Millis
+	width        float64
+	widthSpread  float64
+	mostWidth    int
+	cores        int // thousandths
+	memory       int // MB
+	accelerators []int
+	gangs, racks bool
+	steps        float64 // above one: the share of jobs that have a second step
+	uneven       float64
+	wrong        float64 // spread of the declared estimates
+	saves        float64 // share of steps that save their work
+	fails        float64 // share of runs that fail
+	stretch      float64
+	target       timekeeper.Millis
+}
+
+// site is a deployment of which days are made.
+type site struct {
+	name       string
+	cores      int
+	memory     int
+	kinds      []kind
+	whole      float64 // weights of the parts of a day's worth
+	windows    float64
+	worstKind  float64
+	workspaces float64
+}
+
+var allSizes = []int{1, 2, 4, 8, 8}
+
+var dvorak = site{
+	name: "dvorak", cores: 32000, memory: 131072, whole: 0.6, windows: 0.25, worstKind: 0.15, workspaces: 0.2,
+	kinds: []kind{
+		{queue: "plans", perSecond: 0.456, worth: 3, late: 0.9, work: 8500, workSpread: 0.3, mostWork: 11000, width: 1.5, widthSpread: 0.8, mostWidth: 9,
+			cores: 13000, memory: 38000, accelerators: allSizes, gangs: true, uneven: 0.15, wrong: 0.9, saves: 0.45, fails: 0.005, stretch: 3, target: 1000},
+		{queue: "urgent", perSecond: 0.596, worth: 4, late: 0.8, work: 2500, workSpread: 0.5, mostWork: 8000, width: 3, widthSpread: 0.8, mostWidth: 18,
+			cores: 3700, memory: 11000, accelerators: allSizes, gangs: true, racks: true, uneven: 0.3, wrong: 0.2, fails: 0.02, stretch: 1.5, target: 250},
+		{queue: "checks", perSecond: 0.275, worth: 1, late: 0.3, work: 6100, workSpread: 0.3, mostWork: 11000, width: 9.2, widthSpread: 0.8, mostWidth: 55,
+			cores: 2800, memory: 11000, accelerators: []int{1}, steps: 0.3, uneven: 0.3, wrong: 0.9, saves: 0.45, fails: 0.05, stretch: 3, target: 3000},
+	},
+}
+
+var taukvads = site{
+	name: "taukvads", cores: 64000, memory: 131072, whole: 0.6, windows: 0.1, worstKind: 0.3, workspaces: 0.2,
+	kinds: []kind{
+		{queue: "plans", perSecond: 0.407, worth: 3, late: 0.9, work: 8500, workSpread: 0.3, mostWork: 11000, width: 1.5, widthSpread: 0.8, mostWidth: 9,
+			cores: 26000, memory: 68000, accelerators: allSizes, gangs: true, uneven: 0.15, wrong: 0.5, saves: 0.45, fails: 0.02, stretch: 3, target: 1000},
+		{queue: "urgent", perSecond: 0.298, worth: 4, late: 0.8, work: 2500, workSpread: 0.5, mostWork: 8000, width: 3.4, widthSpread: 0.8, mostWidth: 21,
+			cores: 7500, memory: 15000, accelerators: allSizes, gangs: true, racks: true, uneven: 0.15, wrong: 0.5, fails: 0.02, stretch: 1.5, target: 250},
+		{queue: "checks", perSecond: 0.196, worth: 1, late: 0.3, work: 7600, workSpread: 0.3, mostWork: 11000, width: 9.2, widthSpread: 0.8, mostWidth: 55,
+			cores: 5600, memory: 8200, accelerators: []int{1}, steps: 0.3, uneven: 0.3, wrong: 0.9, saves: 0.45, fails: 0.005, stretch: 3, target: 3000},
+	},
+}
+
+const (
+	traffic timekeeper.Millis = 45_000  // of a day
+	played  timekeeper.Millis = 100_000 // until all that is still worth something has ended
+)
+
+// largestGang is the most accelerators that the users' gangs ask for together.
+const largestGang = 14
+
+// drawn returns a value of the given mean with a logarithmic spread.
+func drawn(rng *rand.Rand, mean, spread float64) float64 {
+	return mean * math.Exp(spread*rng.NormFloat64()-spread*spread/2)
+}
+
+// submission is a job to come, with how long its tasks really take.
+type submission struct {
+	at    timekeeper.Millis
+	job   modeler.Job
+	tasks map[tracker.TaskKey]timekeeper.Millis
+	fails map[tracker.RunKey]timekeeper.Millis
+}
+
+// day makes the submissions of a day with load times the ordinary traffic, and a burst of urgent jobs.
+func (s site) day(seed uint64, load float64) []submission {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var list []submission
+	for _, k := range s.kinds {
+		for at := timekeeper.Millis(0); ; {
+			rate := k.perSecond * load
+			if k.queue == "urgent" && at > traffic/4 && at < traffic/2 {
+				rate *= 1.8
+			}
+			at += timekeeper.Millis(rng.ExpFloat64() * 1000 / rate)
+			if at >= traffic {
+				break
+			}
+			list = append(list, k.submission(rng, at))
+		}
+	}
+	slices.SortFunc(list, func(a, b submission) int { return cmp.Compare(a.at, b.at) })
+	for i := range list {
+		list[i].name(i, rng)
+	}
+	return list
+}
+
+func (k kind) submission(rng *rand.Rand, at timekeeper.Millis) submission {
+	steps := 1
+	if rng.Float64() < k.steps {
+		steps = 2
+	}
+	sub := submission{
+		at: at, job: modeler.Job{Queue: k.queue, Submitted: at},
+		tasks: map[tracker.TaskKey]timekeeper.Millis{}, fails: map[tracker.RunKey]timekeeper.Millis{},
+	}
+	accelerators := k.accelerators[rng.IntN(len(k.accelerators))]
+	for i := range steps {
+		work := min(timekeeper.Millis(drawn(rng, float64(k.work), k.workSpread)), k.mostWork)
+		step := modeler.Step{
+			Count:         min(max(int(math.Round(drawn(rng, k.width, k.widthSpread))), 1), k.mostWidth),
+			Need:          modeler.Resources{MilliCores: k.cores, MemoryMB: k.memory, Accelerators: accelerators},
+			Estimate:      timekeeper.Millis(drawn(rng, float64(work), k.wrong)),
+			Checkpointing: rng.Float64() < k.saves,
+		}
+		step.Gang = k.gangs && step.Count > 1 && step.Count*accelerators <= largestGang
+		step.OneRack = step.Gang && (k.racks || rng.Float64() < 0.5) && step.Count <= 3
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		for index := range step.Count {
+			key := tracker.TaskKey{Step: i, Index: index}
+			sub.tasks[key] = work
+			if !step.Gang {
+				sub.tasks[key] = max(timekeeper.Millis(drawn(rng, float64(work), k.uneven)), 100)
+			}
+			if rng.Float64() < k.fails {
+				sub.fails[tracker.RunKey{Task: key, Attempt: 1}] = sub.tasks[key] * timekeeper.Millis(rng.IntN(100)) / 100
+			}
+		}
+		sub.job.Steps = append(sub.job.Steps, step)
+	}
+	return sub
+}
+
+// name gives the job its id and workspace; one workspace is larger than the others.
+func (s *submission) name(i int, rng *rand.Rand) {
+	s.job.ID = modeler.JobID(fmt.Sprintf("j%03d", i))
+	s.job.Workspace = []string{"sure", "sure", "other", "third"}[rng.IntN(4)]
+}
+
+// play plays the day of a site with a policy and returns what came of it.
+func (s site) play(t testing.TB, policy func(Input) tracker.Assign, subs []submission, learn bool) *play {
+	p := newPlay(t, policy, 0)
+	p.silent = !learn
+	var queues []modeler.Queue
+	for i, k := range s.kinds {
+		queues = append(queues, modeler.Queue{
+			Name: k.queue, Host: "h", Prefix: fmt.Sprintf("/%d/", i), Service: "app", MaxAttempts: 3, Stretch: k.stretch, Target: k.target,
+			Priority: map[string]int{"urgent": 0, "plans": 1, "checks": 2}[k.queue],
+		})
+	}
+	p.apply(tracker.Command{Configure: &modeler.Configuration{
+		Version: 2, Services: []string{"app"}, Queues: queues,
+		Workspaces: []modeler.Workspace{{Name: "sure", Accelerators: 16}, {Name: "other", Accelerators: 8}, {Name: "third"}},
+	}})
+	for i := range 11 {
+		p.attachOf(i, modeler.Resources{MilliCores: s.cores, MemoryMB: s.memory, Accelerators: 8})
+	}
+	next := 0
+	p.run(played, func(now timekeeper.Millis) {
+		for ; next < len(subs) && subs[next].at <= now; next++ {
+			p.hand(subs[next])
+		}
+	})
+	return p
+}
+
+func (p *play) hand(s submission) {
+	for key, work := range s.tasks {
+		key.Job = s.job.ID
+		p.uneven[key] = work
+	}
+	for run, after := range s.fails {
+		run.Task.Job = s.job.ID
+		p.fails[run] = after
+	}
+	p.apply(tracker.Command{Submit: &s.job})
+}
+
+// tally is a share of what could be earned that was.
+type tally struct{ earned, owed float64 }
+
+func (t tally) share() float64 {
+	if t.owed == 0 {
+		return 1
+	}
+	return t.earned / t.owed
+}
+
+// outcome is what callers got of a day.
+type outcome struct {
+	worth   float64
+	whole   float64
+	windows float64
+	kinds   map[string]float64
+	late    map[string]int
+	largest float64 // the worst kind's largest tenth, against the whole kind
+	lost    int     // core-seconds
+}
+
+// judge works out what a played day was worth, as the users weigh it.
+func (s site) judge(p *play, subs []submission) outcome {
+	o := outcome{kinds: map[string]float64{}, late: map[string]int{}, lost: p.lost / 1_000_000, largest: 1}
+	var all tally
+	windows, spaces := map[timekeeper.Millis]tally{}, map[string]tally{}
+	for _, k := range s.kinds {
+		var mine []submission
+		mean := 0.0
+		for _, sub := range subs {
+			if sub.job.Queue == k.queue {
+				mine = append(mine, sub)
+				mean += sub.work()
+			}
+		}
+		mean /= float64(len(mine))
+		slices.SortFunc(mine, func(a, b submission) int { return cmp.Compare(b.work(), a.work()) })
+		var total, largest tally
+		for i, sub := range mine {
+			value := min(0.3+0.7*sub.work()/mean, 4) * k.worth
+			got := value * k.earned(p, sub) / k.worth
+			if got < value {
+				o.late[k.queue]++
+			}
+			add := func(t tally) tally { return tally{t.earned + got, t.owed + value} }
+			all, total = add(all), add(total)
+			if i < max(len(mine)/10, 1) {
+				largest = add(largest)
+			}
+			windows[sub.at/2000] = add(windows[sub.at/2000])
+			spaces[sub.job.Workspace] = add(spaces[sub.job.Workspace])
+		}
+		o.kinds[k.queue] = total.share()
+		if total.share() > 0 {
+			o.largest = min(o.largest, largest.share()/total.share())
+		}
+	}
+	o.whole = all.share()
+	o.windows = worst(windows, 2)
+	worstKind := 1.0
+	for _, share := range o.kinds {
+		worstKind = min(worstKind, share)
+	}
+	o.worth = s.whole*o.whole + s.windows*o.windows + s.worstKind*worstKind + s.workspaces*worst(spaces, 1) - lostPrice*float64(o.lost)
+	return o
+}
+
+// lostPrice is what a core-second of work thrown away costs a day.
+const lostPrice = 0.0384 / 2540
+
+// worst returns the mean share of the n worst.
+func worst[K comparable](all map[K]tally, n int) float64 {
+	var shares []float64
+	for _, t := range all {
+		shares = append(shares, t.share())
+	}
+	slices.Sort(shares)
+	n = min(n, len(shares))
+	sum := 0.0
+	for _, s := range shares[:n] {
+		sum += s / float64(n)
+	}
+	return sum
+}
+
+// work returns the core-seconds that the job's tasks really take, an accelerator counting as eight cores.
+func (s submission) work() float64 {
+	sum := 0.0
+	for key, work := range s.tasks {
+		sum += float64(s.job.Steps[key.Step].Need.Weight()) * float64(work) / 1_000_000
+	}
+	return sum
+}
+
+// earned returns what the job brought, by the time of its end against the objective of its true work.
+func (k kind) earned(p *play, s submission) float64 {
+	at, done := p.done[s.job.ID]
+	if !done {
+		return 0
+	}
+	real := s.job
+	real.Steps = slices.Clone(s.job.Steps)
+	for i := range real.Steps {
+		real.Steps[i].Estimate = 0
+	}
+	for key, work := range s.tasks {
+		real.Steps[key.Step].Estimate = max(real.Steps[key.Step].Estimate, work)
+	}
+	objective := timekeeper.Millis(k.stretch*float64(real.Chain(p.state.Room("app")))) + k.target
+	switch took := at - s.at; {
+	case took <= objective:
+		return k.worth
+	case took <= lateObjectives*objective:
+		return k.late
+	}
+	return 0
+}
+
+// means are the outcomes of several days.
+type means struct {
+	outcome
+	lost float64
+}
+
+// playDays plays days of a site with a load and returns their mean outcome; learn is whether run times are known of
+// what has ended.
+func (s site) playDays(t testing.TB, policy func(Input) tracker.Assign, load float64, learn bool) means {
+	days := *daysPlayed
+	outcomes := make(chan outcome, days)
+	for seed := range days {
+		go func() {
+			subs := s.day(uint64(seed), load)
+			outcomes <- s.judge(s.play(t, policy, subs, learn), subs)
+		}()
+	}
+	m := means{outcome: outcome{kinds: map[string]float64{}}}
+	for range days {
+		o, n := <-outcomes, float64(days)
+		m.worth += o.worth / n
+		m.whole += o.whole / n
+		m.windows += o.windows / n
+		m.largest += o.largest / n
+		m.lost += float64(o.lost) / n
+		for name, share := range o.kinds {
+			m.kinds[name] += share / n
+		}
+	}
+	return m
+}
+
+// logDays prints a row of a table of policies.
+func logDays(t *testing.T, s site, load float64, name string, m means) {
+	t.Helper()
+	t.Logf("%-8s load %.1f %-13s worth %.3f whole %.3f windows %.3f largest %.2f urgent %.3f plans %.3f checks %.3f lost %.0f",
+		s.name, load, name, m.worth, m.whole, m.windows, m.largest, m.kinds["urgent"], m.kinds["plans"], m.kinds["checks"], m.lost)
+}
+
+// TestHeavyDaysAgainstBaselines plays days of both users that ask for more than there is, with the plain policy, with
+// declared run times alone, and as it is. What is learnt of run times must bring more than it costs, and no kind's
+// largest jobs may be served less than half as often as the kind.
+func TestHeavyDaysAgainstBaselines(t *testing.T) {
+	for _, s := range []site{dvorak, taukvads} {
+		for _, load := range loads() {
+			plain := s.playDays(t, firstCome, load, true)
+			declared := s.playDays(t, Plan, load, false)
+			ours := s.playDays(t, Plan, load, true)
+			logDays(t, s, load, "first come", plain)
+			logDays(t, s, load, "declared", declared)
+			logDays(t, s, load, "ours", ours)
+			if ours.worth < plain.worth+0.1 {
+				t.Errorf("%s: worth %.3f, in the order of arrival %.3f", s.name, ours.worth, plain.worth)
+			}
+			if ours.worth <= declared.worth {
+				t.Errorf("%s: worth %.3f, by declared run times alone %.3f", s.name, ours.worth, declared.worth)
+			}
+			if ours.largest < 0.5 {
+				t.Errorf("%s: the largest jobs of a kind are served %.2f times as often as the kind", s.name, ours.largest)
+			}
+		}
+	}
+}
+
+var (
+	daysPlayed  = flag.Int("days", 3, "days that TestHeavyDaysAgainstBaselines plays for each figure")
+	loadsPlayed = flag.String("loads", "1.8", "their loads, against an ordinary day, with commas between")
+)
+
+func loads() []float64 {
+	var list []float64
+	for text := range strings.SplitSeq(*loadsPlayed, ",") {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			panic(err)
+		}
+		list = append(list, load)
+	}
+	return list
+}
--- a/internal/planner/load_test.go
+++ b/internal/planner/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
@@ -15,7 +16,7 @@
 func firstCome(in Input) tracker.Assign {
 	b := newBoard(in)
 	var plan tracker.Assign
-	list := rank(in)
+	list := slices.Clone(b.order)
 	for range list {
 		first := 0
 		for i, c := range list {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,7 +33,7 @@
 	var plan tracker.Assign
 	b.stopStalled(&plan)
 	b.stopLeaving(&plan)
-	for _, c := range rank(in) {
+	for _, c := range b.order {
 		for instance := range c.job.Tasks {
 			b.planInstance(&plan, c, instance)
 		}
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -13,6 +13,8 @@
 const (
 	tick     timekeeper.Millis = 50
 	stopTime timekeeper.Millis = 400 // what a runner takes to stop a run, at most
+
+	restoreTime timekeeper.Millis = 600 // what a run takes to resume from a checkpoint
 )
 
 // play drives the tracker with a policy and workers that take the true time of each task.
@@ -22,13 +24,17 @@
 	state  tracker.State
 	index  uint64
 	now    timekeeper.Millis
-	truth  map[modeler.JobID]timekeeper.Millis // how long each task of a job really takes
+	truth  map[modeler.JobID]timekeeper.Millis   // how long each task of a job really takes
+	uneven map[tracker.TaskKey]timekeeper.Millis // likewise of single tasks that differ from the others of their job
+	saved  map[tracker.TaskKey]timekeeper.Millis // progress that a task's next run resumes from
+	fails  map[tracker.RunKey]timekeeper.Millis  // runs that fail, by the time they take to do so
 	begun  map[tracker.RunKey]timekeeper.Millis
 	stops  map[tracker.RunKey]timekeeper.Millis // when an ordered stop is carried out
 	first  map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step had begun
 	done   map[modeler.JobID]timekeeper.Millis
-	orders int // stops ordered
-	lost   int // core-milliseconds, in thousandths, of runs that were stopped
+	silent bool // ends do not tell how long a run took
+	orders int  // stops ordered
+	lost   int  // core-milliseconds, in thousandths, of runs that were stopped
 }
 
 func newPlay(t testing.TB, policy func(Input) tracker.Assign, workers int) *play {
@@ -36,6 +42,8 @@
 		t: t, policy: policy, state: tracker.New(), truth: map[modeler.JobID]timekeeper.Millis{},
 		begun: map[tracker.RunKey]timekeeper.Millis{}, stops: map[tracker.RunKey]timekeeper.Millis{},
 		first: map[modeler.JobID]timekeeper.Millis{}, done: map[modeler.JobID]timekeeper.Millis{},
+		uneven: map[tracker.TaskKey]timekeeper.Millis{}, saved: map[tracker.TaskKey]timekeeper.Millis{},
+		fails: map[tracker.RunKey]timekeeper.Millis{},
 	}
 	p.apply(tracker.Command{Configure: &modeler.Configuration{
 		Version: 1, Services: []string{"app"},
@@ -54,13 +62,18 @@
 
 func workerName(i int) string { return fmt.Sprintf("w%02d", i) }
 
-// attach adds a worker of 32 cores, 128 GB and 8 accelerators; three share a rack.
+// attach adds a worker of 32 cores, 128 GB and 8 accelerators.
 func (p *play) attach(i int) {
+	p.attachOf(i, modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8})
+}
+
+// attachOf adds a worker with the given capacity; three share a rack.
+func (p *play) attachOf(i int, capacity modeler.Resources) {
 	p.apply(tracker.Command{Attach: &tracker.Attach{
 		Worker: workerName(i), Life: tracker.Life{ID: workerName(i), Born: int64(p.now) + 1}, Process: fmt.Sprint(p.now),
 		Profile: tracker.Profile{
 			Service: "app", Labels: []string{string(rune('a' + i%2)), fmt.Sprintf("r%d", i/3)},
-			Capacity: modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8},
+			Capacity: capacity,
 		},
 	}})
 }
@@ -97,17 +110,41 @@
 func (p *play) input() Input {
 	in := Input{State: p.state, Now: p.now, Progress: map[tracker.RunKey]Progress{}}
 	for key, at := range p.begun {
-		in.Progress[key] = Progress{Running: p.now - at, Percent: int((p.now - at) * 100 / p.truth[key.Task.Job])}
+		in.Progress[key] = Progress{Running: p.now - at, Percent: int(p.worked(key, at) * 100 / p.whole(key.Task))}
 	}
 	return in
 }
 
+// whole returns how long a task takes without a break.
+func (p *play) whole(key tracker.TaskKey) timekeeper.Millis {
+	if own, ok := p.uneven[key]; ok {
+		return own
+	}
+	return p.truth[key.Job]
+}
+
+// worked returns how much of its task a run has done, what it resumed from included.
+func (p *play) worked(key tracker.RunKey, begun timekeeper.Millis) timekeeper.Millis {
+	saved := p.saved[key.Task]
+	if saved == 0 {
+		return p.now - begun
+	}
+	return saved + max(p.now-begun-restoreTime, 0)
+}
+
 func (p *play) finishRuns() {
 	for _, w := range p.state.Workers() {
 		var ends []tracker.End
 		for _, r := range w.Runs {
 			if kind := p.ended(r); kind != 0 {
-				ends = append(ends, tracker.End{Run: r.Key, Kind: kind})
+				end := tracker.End{Run: r.Key, Kind: kind}
+				if p.saved[r.Key.Task] > 0 {
+					end.Checkpoint = "saved"
+				}
+				if p.saved[r.Key.Task] == 0 && !p.silent {
+					end.Took = p.now - p.begun[r.Key]
+				}
+				ends = append(ends, end)
 				delete(p.begun, r.Key)
 			}
 		}
@@ -124,9 +161,12 @@
 
 func (p *play) ended(r tracker.Run) tracker.EndKind {
 	at, running := p.begun[r.Key]
-	if running && p.now-at >= p.truth[r.Key.Task.Job] {
+	if running && p.worked(r.Key, at) >= p.whole(r.Key.Task) {
 		return tracker.EndDone
 	}
+	if after, fails := p.fails[r.Key]; running && fails && p.now-at >= after {
+		return tracker.EndFailed
+	}
 	if !r.Stopping {
 		return 0
 	}
@@ -136,10 +176,21 @@
 	if p.now < p.stops[r.Key] {
 		return 0
 	}
-	p.lost += r.Need.Weight() * int(p.now-at)
+	p.stopped(r, at)
 	return tracker.EndStopped
 }
 
+// stopped accounts for the work that an ordered stop throws away; a step that saves its work resumes from there.
+func (p *play) stopped(r tracker.Run, begun timekeeper.Millis) {
+	j, _ := p.state.Job(r.Key.Task.Job)
+	if !j.Steps[r.Key.Task.Step].Checkpointing {
+		p.lost += r.Need.Weight() * int(p.now-begun)
+		return
+	}
+	p.lost += r.Need.Weight() * int(min(restoreTime, p.now-begun))
+	p.saved[r.Key.Task] = p.worked(r.Key, begun)
+}
+
 func (p *play) noteRuns() {
 	for _, w := range p.state.Workers() {
 		if !w.Used().Fits(w.Profile.Capacity) {
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -23,8 +23,8 @@
 const (
 	// lateObjectives is the number of objectives after which a finished job is worth nothing to its caller.
 	lateObjectives = 3
-	// optimism is the share of a declared chain that is taken as surely needed; estimates are often too long.
-	optimism = 0.5
+	// optimism is the share of an estimated chain that is taken as surely needed; estimates are off either way.
+	optimism = 0.8
 )
 
 // candidate is an unfinished job with its place in the order.
@@ -51,6 +51,7 @@
 		if _, known := rooms[q.Service]; !known {
 			rooms[q.Service] = in.State.Room(q.Service)
 		}
+		j.Job = j.WithEstimates(in.State.Record(j.Queue).Estimate)
 		c := candidate{job: j, queue: q, room: rooms[q.Service], start: start(j)}
 		c.due = c.start + q.Objective(j.Chain(c.room))
 		w, _ := in.State.Configuration.Workspace(j.Workspace)
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -10,7 +10,7 @@
 
 // reservedShare bounds the workers that are kept for waiting batch work at once, as one in so many. Kept workers stand
 // partly idle until their runs end.
-const reservedShare = 4
+const reservedShare = 2
 
 // reserve keeps the workers that will first have room for a demand for which nothing is stopped, so that smaller work
 // behind it does not take every piece that gets free: a task that needs a whole worker, or a gang that needs a rack,
--- a/internal/tracker/apply.go
+++ b/internal/tracker/apply.go
@@ -39,8 +39,15 @@
 
 // configure keeps the newest version; one that is not newer changes nothing.
 func (s *State) configure(c modeler.Configuration) {
-	if c.Version > s.Configuration.Version {
-		s.Configuration = c
+	if c.Version <= s.Configuration.Version {
+		return
+	}
+	s.Configuration = c
+	for it := s.records.Iterator(); !it.Done(); {
+		queue, _, _ := it.Next()
+		if _, kept := c.Queue(queue); !kept {
+			s.records = s.records.Delete(queue)
+		}
 	}
 }
 
@@ -148,6 +155,7 @@
 	}
 	step := j.Steps[key.Step]
 	if end.Kind == EndDone && !step.LongRunning {
+		s.learn(j.Queue, step, t, end.Took)
 		s.putJob(withDone(j, key, step))
 		return
 	}
--- a/internal/tracker/command.go
+++ b/internal/tracker/command.go
@@ -75,10 +75,11 @@
 
 // End is the end of one run, as the runner lists it; Number is zero where only the agent knows.
 type End struct {
-	Number     int     `cbor:"1,keyasint,omitempty"`
-	Run        RunKey  `cbor:"2,keyasint"`
-	Kind       EndKind `cbor:"3,keyasint"`
-	Checkpoint string  `cbor:"4,keyasint,omitempty"`
+	Number     int               `cbor:"1,keyasint,omitempty"`
+	Run        RunKey            `cbor:"2,keyasint"`
+	Kind       EndKind           `cbor:"3,keyasint"`
+	Checkpoint string            `cbor:"4,keyasint,omitempty"`
+	Took       timekeeper.Millis `cbor:"5,keyasint,omitempty"` // since it began; zero where the agent did not see that
 }
 
 // Report records ends of runs of a worker's present life.
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/estimator"
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
@@ -58,6 +59,12 @@
 	Configuration modeler.Configuration `cbor:"1,keyasint"`
 	Jobs          []jobDump             `cbor:"2,keyasint"`
 	Workers       []Worker              `cbor:"3,keyasint"`
+	Records       []recordDump          `cbor:"4,keyasint,omitempty"`
+}
+
+type recordDump struct {
+	Queue  string           `cbor:"1,keyasint"`
+	Record estimator.Record `cbor:"2,keyasint"`
 }
 
 type jobDump struct {
@@ -70,6 +77,10 @@
 func (s State) encode() ([]byte, error) {
 	d := dump{Configuration: s.Configuration, Workers: s.Workers()}
 	s.Jobs(func(j Job) { d.Jobs = append(d.Jobs, jobDump{j.Job, j.Phase, j.Ended, j.Tasks}) })
+	for it := s.records.Iterator(); !it.Done(); {
+		queue, record, _ := it.Next()
+		d.Records = append(d.Records, recordDump{queue, record})
+	}
 	data, err := encoder.Marshal(d)
 	if err != nil {
 		return nil, fmt.Errorf("encode state: %w", err)
@@ -90,5 +101,8 @@
 	for _, w := range d.Workers {
 		s.workers = s.workers.Set(w.Name, w)
 	}
+	for _, r := range d.Records {
+		s.records = s.records.Set(r.Queue, r.Record)
+	}
 	return s, nil
 }
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -5,7 +5,9 @@
 
 	"github.com/benbjohnson/immutable"
 
+	"github.com/lagoonmill/lagoonmill/internal/estimator"
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 // State is everything that the log has decided; it is immutable and may be shared without locks.
@@ -15,6 +17,7 @@
 	jobs          *immutable.SortedMap[modeler.JobID, Job]
 	open          *immutable.SortedMap[modeler.JobID, struct{}] // jobs that have not ended
 	workers       *immutable.SortedMap[string, Worker]
+	records       *immutable.SortedMap[string, estimator.Record] // by queue
 }
 
 // New returns the state of a new cluster.
@@ -23,6 +26,7 @@
 		jobs:    immutable.NewSortedMap[modeler.JobID, Job](nil),
 		open:    immutable.NewSortedMap[modeler.JobID, struct{}](nil),
 		workers: immutable.NewSortedMap[string, Worker](nil),
+		records: immutable.NewSortedMap[string, estimator.Record](nil),
 	}
 }
 
@@ -72,6 +76,20 @@
 	return workers
 }
 
+// Record returns what ended tasks of a queue took.
+func (s State) Record(queue string) estimator.Record {
+	r, _ := s.records.Get(queue)
+	return r
+}
+
+// learn notes how long a task took from its beginning to its end; one that resumed tells nothing, nor one whose agent
+// did not see it begin.
+func (s *State) learn(queue string, step modeler.Step, t Task, took timekeeper.Millis) {
+	if took > 0 && t.Checkpoint == "" {
+		s.records = s.records.Set(queue, s.Record(queue).WithObservation(took, step.Estimate))
+	}
+}
+
 // Room returns what the workers of a service have together, those that are gone left out.
 func (s State) Room(service string) modeler.Resources {
 	var sum modeler.Resources
