Judge slow runs by what is expected of them, declarations included

Ruled out: a slow worker (its other runs ended in time). Change: the pace of a run without peers is compared to the estimate of usual time and declaration. Test: TestDeclaredLongRunIsNotSlow, failing before.

--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -146,7 +146,7 @@
 			kept[r.Key] = run
 			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping {
 				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
-				paces = append(paces, run.pace(r.Key, w.Name, j.Queue))
+				paces = append(paces, run.pace(r.Key, w.Name, expected(s, j, r.Key)))
 			}
 		}
 		if at, ok := o.leaving[w.Name]; ok {
@@ -155,7 +155,7 @@
 	}
 	o.runs = kept
 	for _, p := range paces {
-		if p.slow(paces, s.Record(p.queue).Usual()) {
+		if p.slow(paces) {
 			judged := progress[p.run]
 			judged.Slow = true
 			progress[p.run] = judged
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -168,6 +168,25 @@
 	}
 }
 
+// TestDeclaredLongRunIsNotSlow has a task of a queue whose declarations hold declare, and take, ten times as long as the
+// others: it is left alone, whatever the others take.
+func TestDeclaredLongRunIsNotSlow(t *testing.T) {
+	c := newCluster(t, 2)
+	o := newObserver()
+	for i, took := range []timekeeper.Millis{900, 2400, 5200, 1300, 2500, 700, 8000, 2000} {
+		id := modeler.JobID(fmt.Sprintf("ended-%d", i))
+		key := c.runJob(id, 1, took*11/10)[0]
+		c.apply(tracker.Command{Report: &tracker.Report{
+			Worker: "w0", Epoch: 1, Ends: []tracker.End{{Run: key, Kind: tracker.EndDone, Took: took}},
+		}})
+	}
+	key := c.runJob("long", 1, 22_000)[0]
+	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{key: 24_000}, 6000)
+	if progress, _, _ := o.input(c.state, 6000); progress[key].Slow {
+		t.Errorf("a run that takes what was declared is judged as slow: %+v", progress[key])
+	}
+}
+
 // TestOnlyWhatBeganIsLogged tells starts that took effect from those that no longer fitted.
 func TestOnlyWhatBeganIsLogged(t *testing.T) {
 	c := newCluster(t, 2)
--- a/internal/coordinator/pace.go
+++ b/internal/coordinator/pace.go
@@ -13,25 +13,23 @@
 	// slowAgainstPeers is how many times as long as the other tasks of its step a task may take: these differ by a
 	// third or so.
 	slowAgainstPeers = 2.5
-	// slowAgainstQueue is likewise for runs of the same queue, whose work differs more.
+	// slowAgainstQueue is likewise against what is expected of a run of its queue, whose work differs more.
 	slowAgainstQueue = 4.5
 	// fewestPeers is the number of others that a comparison needs.
 	fewestPeers = 2
 )
 
 // pace is how long a run would take as a whole, by what it has done so far; zero where that is not known.
-//
-// Declared estimates say nothing here: they are off by ten times. A run is judged by others that are like it.
 type pace struct {
-	run    tracker.RunKey
-	worker string
-	queue  string
-	whole  timekeeper.Millis
-	left   timekeeper.Millis
+	run      tracker.RunKey
+	worker   string
+	expected timekeeper.Millis // by what its queue's runs took and by its declaration, as far as that can be trusted
+	whole    timekeeper.Millis
+	left     timekeeper.Millis
 }
 
-func (r *observed) pace(key tracker.RunKey, worker, queue string) pace {
-	p := pace{run: key, worker: worker, queue: queue}
+func (r *observed) pace(key tracker.RunKey, worker string, expected timekeeper.Millis) pace {
+	p := pace{run: key, worker: worker, expected: expected}
 	if ran := r.last - r.first; r.first > 0 && r.percent > r.resumed && ran > slowAfter {
 		p.whole = ran * whole / timekeeper.Millis(r.percent-r.resumed)
 		p.left = p.whole * timekeeper.Millis(whole-r.percent) / whole
@@ -39,8 +37,17 @@
 	return p
 }
 
+// expected returns how long a run should take, or zero where too little is known of its queue.
+func expected(s tracker.State, j tracker.Job, key tracker.RunKey) timekeeper.Millis {
+	record := s.Record(j.Queue)
+	if record.Usual() == 0 {
+		return 0
+	}
+	return record.Estimate(j.Steps[key.Task.Step].Estimate)
+}
+
 // slow reports whether the run is so far behind others like it that it is better begun elsewhere.
-func (p pace) slow(all []pace, usual timekeeper.Millis) bool {
+func (p pace) slow(all []pace) bool {
 	if p.whole == 0 {
 		return false
 	}
@@ -51,7 +58,7 @@
 	if p.run.Attempt > 1 {
 		return false // it was as slow elsewhere: its work is long
 	}
-	return usual > 0 && p.left > usual && float64(p.whole) > slowAgainstQueue*float64(usual)
+	return p.expected > 0 && p.left > p.expected && float64(p.whole) > slowAgainstQueue*float64(p.expected)
 }
 
 // peers returns the paces of tasks of the same step on other workers.
