Let batch work with time to spare leave room for urgent work

Objectives are worked out from the nominal work: a gang takes as long as its longest member, 1.3 to 1.5 times that, so that hardly any of the 1.5 times is left to wait. Change: a batch job that need not begin for 6 s leaves an eighth of its service's accelerators free. Urgent jobs are ordered by the time they are due and by their size. Nothing is added to or taken off an expected chain.

--- a/internal/planner/day_test.go
+++ b/internal/planner/day_test.go
@@ -30,7 +30,8 @@
 	cores        int // thousandths
 	memory       int // MB
 	accelerators []int
-	gangs, racks bool
+	gangs        bool
+	racks        float64 // share of the small gangs that want one rack
 	steps        float64 // above one: the share of jobs that have a second step
 	uneven       float64
 	wrong        float64 // spread of the declared estimates
@@ -43,6 +44,9 @@
 // site is a deployment of which days are made.
 type site struct {
 	name       string
+	workers    int
+	rack       int // workers in one
+	stop       timekeeper.Millis
 	cores      int
 	memory     int
 	kinds      []kind
@@ -50,41 +54,61 @@
 	windows    float64
 	worstKind  float64
 	workspaces float64
+	lostPrice  float64 // of a core-second thrown away, against the mean worth of a job
 }
 
 var allSizes = []int{1, 2, 4, 8, 8}
 
 var dvorak = site{
-	name: "dvorak", cores: 32000, memory: 131072, whole: 0.6, windows: 0.25, worstKind: 0.15, workspaces: 0.2,
+	name: "dvorak", workers: 11, rack: 3, stop: 200, cores: 32000, memory: 131072, whole: 0.6, windows: 0.25, worstKind: 0.15, workspaces: 0.2, lostPrice: 0.0015,
 	kinds: []kind{
 		{queue: "plans", perSecond: 0.456, worth: 3, late: 0.9, work: 8500, workSpread: 0.3, mostWork: 11000, width: 1.5, widthSpread: 0.8, mostWidth: 9,
-			cores: 13000, memory: 38000, accelerators: allSizes, gangs: true, uneven: 0.15, wrong: 0.9, saves: 0.45, fails: 0.005, stretch: 3, target: 1000},
+			cores: 13000, memory: 38000, accelerators: allSizes, gangs: true, racks: 0.6, uneven: 0.15, wrong: 0.9, saves: 0.45, fails: 0.005, stretch: 3, target: 1000},
 		{queue: "urgent", perSecond: 0.596, worth: 4, late: 0.8, work: 2500, workSpread: 0.5, mostWork: 8000, width: 3, widthSpread: 0.8, mostWidth: 18,
-			cores: 3700, memory: 11000, accelerators: allSizes, gangs: true, racks: true, uneven: 0.3, wrong: 0.2, fails: 0.02, stretch: 1.5, target: 250},
+			cores: 3700, memory: 11000, accelerators: allSizes, gangs: true, racks: 0.8, uneven: 0.3, wrong: 0.2, fails: 0.02, stretch: 1.5, target: 250},
 		{queue: "checks", perSecond: 0.275, worth: 1, late: 0.3, work: 6100, workSpread: 0.3, mostWork: 11000, width: 9.2, widthSpread: 0.8, mostWidth: 55,
 			cores: 2800, memory: 11000, accelerators: []int{1}, steps: 0.3, uneven: 0.3, wrong: 0.9, saves: 0.45, fails: 0.05, stretch: 3, target: 3000},
 	},
 }
 
 var taukvads = site{
-	name: "taukvads", cores: 64000, memory: 131072, whole: 0.6, windows: 0.1, worstKind: 0.3, workspaces: 0.2,
+	name: "taukvads", workers: 11, rack: 3, stop: 400, cores: 64000, memory: 131072, whole: 0.6, windows: 0.1, worstKind: 0.3, workspaces: 0.2, lostPrice: 0.001,
 	kinds: []kind{
 		{queue: "plans", perSecond: 0.407, worth: 3, late: 0.9, work: 8500, workSpread: 0.3, mostWork: 11000, width: 1.5, widthSpread: 0.8, mostWidth: 9,
-			cores: 26000, memory: 68000, accelerators: allSizes, gangs: true, uneven: 0.15, wrong: 0.5, saves: 0.45, fails: 0.02, stretch: 3, target: 1000},
+			cores: 26000, memory: 68000, accelerators: allSizes, gangs: true, racks: 0.6, uneven: 0.15, wrong: 0.5, saves: 0.45, fails: 0.02, stretch: 3, target: 1000},
 		{queue: "urgent", perSecond: 0.298, worth: 4, late: 0.8, work: 2500, workSpread: 0.5, mostWork: 8000, width: 3.4, widthSpread: 0.8, mostWidth: 21,
-			cores: 7500, memory: 15000, accelerators: allSizes, gangs: true, racks: true, uneven: 0.15, wrong: 0.5, fails: 0.02, stretch: 1.5, target: 250},
+			cores: 7500, memory: 15000, accelerators: allSizes, gangs: true, racks: 0.8, uneven: 0.15, wrong: 0.5, fails: 0.02, stretch: 1.5, target: 250},
 		{queue: "checks", perSecond: 0.196, worth: 1, late: 0.3, work: 7600, workSpread: 0.3, mostWork: 11000, width: 9.2, widthSpread: 0.8, mostWidth: 55,
 			cores: 5600, memory: 8200, accelerators: []int{1}, steps: 0.3, uneven: 0.3, wrong: 0.9, saves: 0.45, fails: 0.005, stretch: 3, target: 3000},
 	},
 }
 
+// grown is dvorak with more workers, wider steps and more jobs.
+func (s site) grown() site {
+	s.name += "-grown"
+	s.workers, s.rack, s.memory, s.lostPrice = 59, 7, 65536, 0.0007
+	s.kinds = slices.Clone(s.kinds)
+	for i, wider := range []struct {
+		perSecond, width float64
+		most, memory     int
+	}{{1.02, 6.1, 37, 34000}, {2.34, 4.7, 28, 5500}, {0.615, 30, 180, 5700}} {
+		k := &s.kinds[i]
+		k.perSecond, k.width, k.mostWidth, k.memory = wider.perSecond, wider.width, wider.most, wider.memory
+	}
+	return s
+}
+
 const (
 	traffic timekeeper.Millis = 45_000  // of a day
 	played  timekeeper.Millis = 100_000 // until all that is still worth something has ended
 )
 
-// largestGang is the most accelerators that the users' gangs ask for together.
-const largestGang = 14
+// largestGang is the largest gang that users ask for, as one in so many of all accelerators, and largestRackGang the
+// largest that wants one rack, as one in so many of the rack's.
+const (
+	largestGang     = 6
+	largestRackGang = 2
+)
 
 // drawn returns a value of the given mean with a logarithmic spread.
 func drawn(rng *rand.Rand, mean, spread float64) float64 {
@@ -95,6 +119,7 @@
 type submission struct {
 	at    timekeeper.Millis
 	job   modeler.Job
+	works []timekeeper.Millis // by step, what objectives are worked out from; single tasks differ
 	tasks map[tracker.TaskKey]timekeeper.Millis
 	fails map[tracker.RunKey]timekeeper.Millis
 }
@@ -113,7 +138,7 @@
 			if at >= traffic {
 				break
 			}
-			list = append(list, k.submission(rng, at))
+			list = append(list, s.submission(k, rng, at))
 		}
 	}
 	slices.SortFunc(list, func(a, b submission) int { return cmp.Compare(a.at, b.at) })
@@ -123,7 +148,7 @@
 	return list
 }
 
-func (k kind) submission(rng *rand.Rand, at timekeeper.Millis) submission {
+func (s site) submission(k kind, rng *rand.Rand, at timekeeper.Millis) submission {
 	steps := 1
 	if rng.Float64() < k.steps {
 		steps = 2
@@ -141,21 +166,27 @@
 			Estimate:      timekeeper.Millis(drawn(rng, float64(work), k.wrong)),
 			Checkpointing: rng.Float64() < k.saves,
 		}
-		step.Gang = k.gangs && step.Count > 1 && step.Count*accelerators <= largestGang
-		step.OneRack = step.Gang && (k.racks || rng.Float64() < 0.5) && step.Count <= 3
+		total := step.Count * accelerators
+		step.Gang = k.gangs && step.Count > 1 && total <= 8*s.workers/largestGang
+		step.OneRack = step.Gang && total <= 8*s.rack/largestRackGang && rng.Float64() < k.racks
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
+		sub.works = append(sub.works, work)
+		longest := timekeeper.Millis(0)
 		for index := range step.Count {
 			key := tracker.TaskKey{Step: i, Index: index}
-			sub.tasks[key] = work
-			if !step.Gang {
-				sub.tasks[key] = max(timekeeper.Millis(drawn(rng, float64(work), k.uneven)), 100)
-			}
+			sub.tasks[key] = max(timekeeper.Millis(drawn(rng, float64(work), k.uneven)), 100)
+			longest = max(longest, sub.tasks[key])
 			if rng.Float64() < k.fails {
 				sub.fails[tracker.RunKey{Task: key, Attempt: 1}] = sub.tasks[key] * timekeeper.Millis(rng.IntN(100)) / 100
 			}
 		}
+		for index := range step.Count {
+			if step.Gang {
+				sub.tasks[tracker.TaskKey{Step: i, Index: index}] = longest
+			}
+		}
 		sub.job.Steps = append(sub.job.Steps, step)
 	}
 	return sub
@@ -182,8 +213,9 @@
 		Version: 2, Services: []string{"app"}, Queues: queues,
 		Workspaces: []modeler.Workspace{{Name: "sure", Accelerators: 16}, {Name: "other", Accelerators: 8}, {Name: "third"}},
 	}})
-	for i := range 11 {
-		p.attachOf(i, modeler.Resources{MilliCores: s.cores, MemoryMB: s.memory, Accelerators: 8})
+	p.stopTime = s.stop
+	for i := range s.workers {
+		p.attachOf(i, s.rack, modeler.Resources{MilliCores: s.cores, MemoryMB: s.memory, Accelerators: 8})
 	}
 	next := 0
 	p.run(played, func(now timekeeper.Millis) {
@@ -269,13 +301,10 @@
 	for _, share := range o.kinds {
 		worstKind = min(worstKind, share)
 	}
-	o.worth = s.whole*o.whole + s.windows*o.windows + s.worstKind*worstKind + s.workspaces*worst(spaces, 1) - lostPrice*float64(o.lost)
+	o.worth = s.whole*o.whole + s.windows*o.windows + s.worstKind*worstKind + s.workspaces*worst(spaces, 1) - s.lostPrice*float64(o.lost)/float64(len(subs))
 	return o
 }
 
-// lostPrice is what a core-second of work thrown away costs a day.
-const lostPrice = 0.0384 / 2540
-
 // worst returns the mean share of the n worst.
 func worst[K comparable](all map[K]tally, n int) float64 {
 	var shares []float64
@@ -309,10 +338,7 @@
 	real := s.job
 	real.Steps = slices.Clone(s.job.Steps)
 	for i := range real.Steps {
-		real.Steps[i].Estimate = 0
-	}
-	for key, work := range s.tasks {
-		real.Steps[key.Step].Estimate = max(real.Steps[key.Step].Estimate, work)
+		real.Steps[i].Estimate = s.works[i]
 	}
 	objective := timekeeper.Millis(k.stretch*float64(real.Chain(p.state.Room("app")))) + k.target
 	switch took := at - s.at; {
@@ -367,7 +393,7 @@
 // declared run times alone, and as it is. What is learnt of run times must bring more than it costs, and no kind's
 // largest jobs may be served less than half as often as the kind.
 func TestHeavyDaysAgainstBaselines(t *testing.T) {
-	for _, s := range []site{dvorak, taukvads} {
+	for _, s := range sites() {
 		for _, load := range loads() {
 			plain := s.playDays(t, firstCome, load, true)
 			declared := s.playDays(t, Plan, load, false)
@@ -390,9 +416,18 @@
 
 var (
 	daysPlayed  = flag.Int("days", 3, "days that TestHeavyDaysAgainstBaselines plays for each figure")
+	grownPlayed = flag.Bool("grown", false, "play the grown deployment in place of the others")
 	loadsPlayed = flag.String("loads", "1.8", "their loads, against an ordinary day, with commas between")
 )
 
+// sites returns the deployments to play; the grown one takes a minute a day.
+func sites() []site {
+	if *grownPlayed {
+		return []site{dvorak.grown()}
+	}
+	return []site{dvorak, taukvads}
+}
+
 func loads() []float64 {
 	var list []float64
 	for text := range strings.SplitSeq(*loadsPlayed, ",") {
--- /dev/null
+++ b/internal/planner/headroom.go
@@ -0,0 +1,32 @@
+package planner
+
+import "github.com/lagoonmill/lagoonmill/internal/timekeeper"
+
+const (
+	// headroomShare is the part of a service's accelerators, as one in so many, that batch work with time to spare
+	// leaves free, so that urgent work begins at once and stops nobody.
+	headroomShare = 8
+	// timeToSpare is how long before its latest start a batch job takes any room there is: about one batch task.
+	timeToSpare timekeeper.Millis = 6000
+)
+
+// mustWait reports whether a demand may not begin now, although there may be room: batch work that can wait leaves some
+// room to the urgent work that comes meanwhile.
+func (b *board) mustWait(d demand) bool {
+	if d.rank < rankBatch || d.spec().LongRunning || d.latestStart()-b.in.Now < timeToSpare {
+		return false
+	}
+	left := b.idleAccelerators(d.queue.Service) - len(d.tasks)*d.spec().Need.Accelerators
+	return left < d.room.Accelerators/headroomShare
+}
+
+// idleAccelerators returns how many of a service's accelerators are free and promised to nobody.
+func (b *board) idleAccelerators(service string) int {
+	idle := 0
+	for _, r := range b.rooms {
+		if r.worker.Profile.Service == service {
+			idle += max(r.free.Accelerators, 0)
+		}
+	}
+	return idle
+}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -35,6 +35,9 @@
 func (b *board) placeFree(d demand) (placement, bool) {
 	step := d.spec()
 	key := fullKey{d.queue.Service, step.Label, step.Need, len(d.tasks), step.Gang, step.OneRack}
+	if b.mustWait(d) {
+		return nil, false
+	}
 	special := step.MaxPerWorker > 0 || d.retried()
 	if !special && b.full[key] {
 		return nil, false
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -19,27 +19,28 @@
 
 // play drives the tracker with a policy and workers that take the true time of each task.
 type play struct {
-	t      testing.TB
-	policy func(Input) tracker.Assign
-	state  tracker.State
-	index  uint64
-	now    timekeeper.Millis
-	truth  map[modeler.JobID]timekeeper.Millis   // how long each task of a job really takes
-	uneven map[tracker.TaskKey]timekeeper.Millis // likewise of single tasks that differ from the others of their job
-	saved  map[tracker.TaskKey]timekeeper.Millis // progress that a task's next run resumes from
-	fails  map[tracker.RunKey]timekeeper.Millis  // runs that fail, by the time they take to do so
-	begun  map[tracker.RunKey]timekeeper.Millis
-	stops  map[tracker.RunKey]timekeeper.Millis // when an ordered stop is carried out
-	first  map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step had begun
-	done   map[modeler.JobID]timekeeper.Millis
-	silent bool // ends do not tell how long a run took
-	orders int  // stops ordered
-	lost   int  // core-milliseconds, in thousandths, of runs that were stopped
+	t        testing.TB
+	policy   func(Input) tracker.Assign
+	state    tracker.State
+	index    uint64
+	now      timekeeper.Millis
+	truth    map[modeler.JobID]timekeeper.Millis   // how long each task of a job really takes
+	uneven   map[tracker.TaskKey]timekeeper.Millis // likewise of single tasks that differ from the others of their job
+	saved    map[tracker.TaskKey]timekeeper.Millis // progress that a task's next run resumes from
+	fails    map[tracker.RunKey]timekeeper.Millis  // runs that fail, by the time they take to do so
+	begun    map[tracker.RunKey]timekeeper.Millis
+	stops    map[tracker.RunKey]timekeeper.Millis // when an ordered stop is carried out
+	first    map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step had begun
+	done     map[modeler.JobID]timekeeper.Millis
+	stopTime timekeeper.Millis
+	silent   bool // ends do not tell how long a run took
+	orders   int  // stops ordered
+	lost     int  // core-milliseconds, in thousandths, of runs that were stopped
 }
 
 func newPlay(t testing.TB, policy func(Input) tracker.Assign, workers int) *play {
 	p := &play{
-		t: t, policy: policy, state: tracker.New(), truth: map[modeler.JobID]timekeeper.Millis{},
+		t: t, policy: policy, stopTime: stopTime, state: tracker.New(), truth: map[modeler.JobID]timekeeper.Millis{},
 		begun: map[tracker.RunKey]timekeeper.Millis{}, stops: map[tracker.RunKey]timekeeper.Millis{},
 		first: map[modeler.JobID]timekeeper.Millis{}, done: map[modeler.JobID]timekeeper.Millis{},
 		uneven: map[tracker.TaskKey]timekeeper.Millis{}, saved: map[tracker.TaskKey]timekeeper.Millis{},
@@ -64,15 +65,15 @@
 
 // attach adds a worker of 32 cores, 128 GB and 8 accelerators.
 func (p *play) attach(i int) {
-	p.attachOf(i, modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8})
+	p.attachOf(i, 3, modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8})
 }
 
-// attachOf adds a worker with the given capacity; three share a rack.
-func (p *play) attachOf(i int, capacity modeler.Resources) {
+// attachOf adds a worker with the given capacity; so many share a rack.
+func (p *play) attachOf(i, rack int, capacity modeler.Resources) {
 	p.apply(tracker.Command{Attach: &tracker.Attach{
 		Worker: workerName(i), Life: tracker.Life{ID: workerName(i), Born: int64(p.now) + 1}, Process: fmt.Sprint(p.now),
 		Profile: tracker.Profile{
-			Service: "app", Labels: []string{string(rune('a' + i%2)), fmt.Sprintf("r%d", i/3)},
+			Service: "app", Labels: []string{string(rune('a' + i%2)), fmt.Sprintf("r%d", i/rack)},
 			Capacity: capacity,
 		},
 	}})
@@ -171,7 +172,7 @@
 		return 0
 	}
 	if _, ordered := p.stops[r.Key]; !ordered {
-		p.stops[r.Key] = p.now + stopTime
+		p.stops[r.Key] = p.now + p.stopTime
 	}
 	if p.now < p.stops[r.Key] {
 		return 0
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -23,8 +23,9 @@
 const (
 	// lateObjectives is the number of objectives after which a finished job is worth nothing to its caller.
 	lateObjectives = 3
-	// optimism is the share of an estimated chain that is taken as surely needed; estimates are off either way.
-	optimism = 0.8
+	// sizeDelay puts large urgent jobs behind small ones that are due a little later: by so many times the time that
+	// all workers together need for the job. One late job is better than several.
+	sizeDelay = 20
 )
 
 // candidate is an unfinished job with its place in the order.
@@ -37,8 +38,20 @@
 	room  modeler.Resources // what all workers of the queue's service have together
 }
 
-// rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by the
-// time at which the objective passes.
+// latestStart returns until when the job can begin and still be expected to meet its objective.
+func (c candidate) latestStart() timekeeper.Millis { return c.due - c.job.Chain(c.room) }
+
+// place returns where the job stands among those of its rank: when its objective passes, for urgent jobs with a delay
+// by their size.
+func (c candidate) place() timekeeper.Millis {
+	if c.queue.Priority > 0 {
+		return c.due
+	}
+	return c.due + sizeDelay*timekeeper.Millis(c.job.Work()/max(c.room.Weight(), 1))
+}
+
+// rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by
+// place.
 func rank(in Input) []candidate {
 	owed := urgentAccelerators(in.State)
 	rooms := map[string]modeler.Resources{}
@@ -59,7 +72,7 @@
 		ranked = append(ranked, c)
 	}
 	slices.SortStableFunc(ranked, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.due, b.due))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.place(), b.place()))
 	})
 	return ranked
 }
@@ -77,7 +90,7 @@
 func (c candidate) rankAt(now timekeeper.Millis, guaranteed bool) int {
 	urgent := c.queue.Priority == 0
 	objective := c.due - c.start
-	missed := now+timekeeper.Millis(optimism*float64(c.job.Chain(c.room))) > c.due && c.job.Phase == tracker.JobQueued
+	missed := now > c.latestStart() && c.job.Phase == tracker.JobQueued
 	switch {
 	case urgent && guaranteed:
 		return rankGuaranteed
