--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -8,12 +8,14 @@
 	headroomShare = 8
 	// timeToSpare is how long before its latest start a batch job takes any room there is: about one batch task.
 	timeToSpare timekeeper.Millis = 6000
+	// longestWait bounds how long a job leaves room, so that long jobs do not wait for hours beside idle accelerators.
+	longestWait timekeeper.Millis = 30_000
 )
 
 // mustWait reports whether a demand may not begin now, although there may be room: batch work that can wait leaves some
 // room to the urgent work that comes meanwhile.
 func (b *board) mustWait(d demand) bool {
-	if d.rank < rankBatch || d.spec().LongRunning || d.latestStart()-b.in.Now < timeToSpare {
+	if d.rank < rankBatch || d.spec().LongRunning || b.in.Now > d.start+longestWait || d.latestStart()-b.in.Now < timeToSpare {
 		return false
 	}
 	left := b.idleAccelerators(d.queue.Service) - len(d.tasks)*d.spec().Need.Accelerators
--- a/internal/planner/headroom_test.go
+++ b/internal/planner/headroom_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 // TestBatchWithTimeLeavesRoom hands in more plans than fit, which have time to spare, and then a small urgent gang: it
@@ -52,3 +53,16 @@
 		t.Errorf("the small job begins at %v, the large one at %v", p.first["small"], p.first["large"])
 	}
 }
+
+// TestLongBatchJobsUseAllRoom hands in as many plans of many hours as fit; the last one does not wait for hours.
+func TestLongBatchJobsUseAllRoom(t *testing.T) {
+	const hours = 4 * 60 * timekeeper.Minute
+	p := newPlay(t, Plan, 4)
+	for i := range 4 {
+		p.submit(fmt.Sprintf("plan-%d", i), "plans", "other", hours, tasks(1, 8, hours))
+	}
+	p.run(longestWait+2*tick, nil)
+	if len(p.first) != 4 {
+		t.Errorf("%d of 4 plans have begun after %v", len(p.first), p.now)
+	}
+}
