--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -41,9 +41,9 @@
 // latestStart returns until when the job can begin and still be expected to meet its objective.
 func (c candidate) latestStart() timekeeper.Millis { return c.due - c.job.Chain(c.room) }
 
-// place returns where the job stands among those of its rank: when its objective passes, for urgent jobs with a delay
+// turn returns where the job stands among those of its rank, lower ones first: when its objective passes, for urgent jobs with a delay
 // by their size.
-func (c candidate) place() timekeeper.Millis {
+func (c candidate) turn() timekeeper.Millis {
 	if c.queue.Priority > 0 {
 		return c.due
 	}
@@ -51,7 +51,7 @@
 }
 
 // rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by
-// place.
+// turn.
 func rank(in Input) []candidate {
 	owed := urgentAccelerators(in.State)
 	rooms := map[string]modeler.Resources{}
@@ -72,7 +72,7 @@
 		ranked = append(ranked, c)
 	}
 	slices.SortStableFunc(ranked, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.place(), b.place()))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.turn(), b.turn()))
 	})
 	return ranked
 }
