--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -57,11 +57,11 @@
 	return keys
 }
 
-// endedRuns runs jobs of one task each, which took the given times and have ended.
-func (c *cluster) endedRuns(took ...timekeeper.Millis) {
+// endedRuns runs jobs of one task each, which took the given times and have ended; declare gives what each declares.
+func (c *cluster) endedRuns(declare func(took timekeeper.Millis) timekeeper.Millis, took ...timekeeper.Millis) {
 	c.t.Helper()
 	for i, t := range took {
-		key := c.runJob(modeler.JobID(fmt.Sprintf("ended-%d", i)), 1, 1000)[0]
+		key := c.runJob(modeler.JobID(fmt.Sprintf("ended-%d", i)), 1, declare(t))[0]
 		c.apply(tracker.Command{Report: &tracker.Report{
 			Worker: "w0", Epoch: 1, Ends: []tracker.End{{Run: key, Kind: tracker.EndDone, Took: t}},
 		}})
@@ -154,7 +154,7 @@
 	c := newCluster(t, 2)
 	keys := c.runJob("a", 1, 2000)
 	o := newObserver()
-	c.endedRuns(2400, 2500, 2600, 2500)
+	c.endedRuns(func(timekeeper.Millis) timekeeper.Millis { return 1000 }, 2400, 2500, 2600, 2500)
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000}, 4000)
 	if progress, _, _ := o.input(c.state, 4000); !progress[keys[0]].Slow {
 		t.Errorf("a first run at an eighth of the usual pace is not judged as slow: %+v", progress[keys[0]])
@@ -173,13 +173,7 @@
 func TestDeclaredLongRunIsNotSlow(t *testing.T) {
 	c := newCluster(t, 2)
 	o := newObserver()
-	for i, took := range []timekeeper.Millis{900, 2400, 5200, 1300, 2500, 700, 8000, 2000} {
-		id := modeler.JobID(fmt.Sprintf("ended-%d", i))
-		key := c.runJob(id, 1, took*11/10)[0]
-		c.apply(tracker.Command{Report: &tracker.Report{
-			Worker: "w0", Epoch: 1, Ends: []tracker.End{{Run: key, Kind: tracker.EndDone, Took: took}},
-		}})
-	}
+	c.endedRuns(func(took timekeeper.Millis) timekeeper.Millis { return took * 11 / 10 }, 900, 2400, 5200, 1300, 2500, 700, 8000, 2000)
 	key := c.runJob("long", 1, 22_000)[0]
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{key: 24_000}, 6000)
 	if progress, _, _ := o.input(c.state, 6000); progress[key].Slow {
