Tell the seeds who the replicas are

Cause: control processes without a disk served operators alone. After a turnover of the seeds the settings of every process name such processes; once restarted, entries, agents and they themselves know nobody else, while the replicas know each other from the log and never turn to the seeds. Two islands remain, and no entry finds the leader. Ruled out: a lost leader (it lives and takes the ends of its agents), a fault of the election. Change: internal/introducer. Replicas tell the seeds of their settings who the members are, each second; a control process without a disk keeps that, passes it on, and answers every call of a replica with it. A replica whose disk is lost while its settings name such seeds finds the others by the same way.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -72,21 +72,28 @@
 	}, c)
 }
 
-// standing tells who leads and who the members are.
-func (c *Coordinator) standing() locator.Standing {
+// Introduction tells who leads and who the members are, whether or not this replica leads.
+func (c *Coordinator) Introduction() locator.Standing {
 	status := c.node.Status()
-	s := locator.Standing{NotLeader: status.Role != replicator.Leader}
-	if s.NotLeader {
-		if leader, ok := status.Members.Member(status.Leader); ok {
-			s.Leader = leader.Address
-		}
-		for _, o := range status.Members.Members {
-			s.Members = append(s.Members, o.Address)
-		}
+	s := locator.Standing{NotLeader: status.Role != replicator.Leader, Term: status.Term, Revision: status.Revised}
+	if leader, ok := status.Members.Member(status.Leader); ok {
+		s.Leader = leader.Address
+	}
+	for _, o := range status.Members.Members {
+		s.Members = append(s.Members, o.Address)
 	}
 	return s
 }
 
+// standing is what every answer tells: a leader names its term and the revision of the membership alone.
+func (c *Coordinator) standing() locator.Standing {
+	status := c.node.Status()
+	if status.Role == replicator.Leader {
+		return locator.Standing{Term: status.Term, Revision: status.Revised}
+	}
+	return c.Introduction()
+}
+
 func (c *Coordinator) reply() Reply { return Reply{c.standing()} }
 
 // notLeader is what a replica answers that does not lead, or no longer.
@@ -124,7 +131,7 @@
 }
 
 func (c *Coordinator) hello(context.Context, *HelloRequest) (*HelloResponse, error) {
-	return &HelloResponse{c.reply()}, nil
+	return &HelloResponse{Reply{c.Introduction()}}, nil
 }
 
 // handOverTimeout bounds the wait for another leader in a planned stop: an election.
--- /dev/null
+++ b/internal/introducer/introducer.go
@@ -0,0 +1,196 @@
+package introducer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/coordinator"
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/locator"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/messenger"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+)
+
+const (
+	serviceName    = "lagoonmill.introducer"
+	methodName     = "Announce"
+	methodAnnounce = "/" + serviceName + "/" + methodName
+
+	// announceInterval is the pause between two announcements to a seed: short against the time that a restarted
+	// process has to find its way.
+	announceInterval = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = 600 * time.Millisecond
+	// followInterval is the pause between two looks at whether the replicas have changed.
+	followInterval = 2 * time.Second
+	// followSilence is the time without a leader's answer after which one is looked for without a call to make.
+	followSilence timekeeper.Millis = 5000
+	// followTimeout bounds one question for the replicas.
+	followTimeout = time.Second
+)
+
+// announcement tells who the replicas are, as far as the sender knows.
+type announcement struct {
+	Standing locator.Standing `cbor:"1,keyasint"`
+}
+
+type receipt struct{}
+
+// Introducer tells the seeds of its process who the replicas are, and takes what others tell. Its locator holds what
+// it knows.
+type Introducer struct {
+	self    string // address at which this process is told
+	locator *locator.Locator
+	log     logger.Logger
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn // by seed
+}
+
+// New returns the introducer of a control process that is told at the address self.
+func New(self string, l *locator.Locator, log logger.Logger) *Introducer {
+	return &Introducer{self: self, locator: l, log: log, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Register adds the service that takes announcements to a gRPC server that uses encoder.Codec.
+func (i *Introducer) Register(server *grpc.Server) {
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods:     []grpc.MethodDesc{encoder.Unary(methodName, i.take)},
+	}, i)
+}
+
+func (i *Introducer) take(_ context.Context, a *announcement) (*receipt, error) {
+	before := i.locator.Standing()
+	i.locator.Learn(a.Standing)
+	if a.Standing.Term > before.Term || a.Standing.Revision > before.Revision {
+		i.log.Log(logger.ReplicasTold, logger.F("leader", a.Standing.Leader), logger.F("term", a.Standing.Term),
+			logger.F("revision", a.Standing.Revision), logger.F("members", a.Standing.Members))
+	}
+	return &receipt{}, nil
+}
+
+// Announce tells the seeds until ctx ends. source returns what this process knows; nothing is told while that names no
+// members.
+func (i *Introducer) Announce(ctx context.Context, source func() locator.Standing) error {
+	defer i.close()
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			i.tell(ctx, source())
+		}
+	}
+}
+
+// tell sends one announcement to each seed that may need it, all at once, and waits for them.
+func (i *Introducer) tell(ctx context.Context, s locator.Standing) {
+	if len(s.Members) == 0 {
+		return
+	}
+	var sent sync.WaitGroup
+	for _, seed := range i.audience(s) {
+		sent.Go(func() { i.send(ctx, seed, s) })
+	}
+	sent.Wait()
+}
+
+// audience returns the seeds to tell: a leader tells all, since a member may have lost its disk and so its memory;
+// others leave members out.
+func (i *Introducer) audience(s locator.Standing) []string {
+	return slices.DeleteFunc(i.locator.Seeds(), func(seed string) bool {
+		return seed == i.self || s.NotLeader && slices.Contains(s.Members, seed)
+	})
+}
+
+func (i *Introducer) send(ctx context.Context, seed string, s locator.Standing) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	conn, err := i.conn(seed)
+	if err == nil {
+		_, err = encoder.Call[announcement, receipt](ctx, conn, methodAnnounce, &announcement{s})
+	}
+	if err != nil {
+		i.drop(seed) // a seed may be down or gone; the next announcement dials anew
+	}
+}
+
+func (i *Introducer) conn(seed string) (*grpc.ClientConn, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if conn := i.conns[seed]; conn != nil {
+		return conn, nil
+	}
+	conn, err := messenger.Dial(seed)
+	if err == nil {
+		i.conns[seed] = conn
+	}
+	return conn, err
+}
+
+func (i *Introducer) drop(seed string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if conn := i.conns[seed]; conn != nil {
+		_ = conn.Close()
+		delete(i.conns, seed)
+	}
+}
+
+func (i *Introducer) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, conn := range i.conns {
+		_ = conn.Close()
+	}
+	clear(i.conns)
+}
+
+// Server returns a gRPC server for a control process without a replica: it takes announcements, and answers every call
+// of a replica with what it knows of the replicas.
+func (i *Introducer) Server() *grpc.Server {
+	server := grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.UnknownServiceHandler(i.pointOn))
+	i.Register(server)
+	return server
+}
+
+func (i *Introducer) pointOn(_ any, stream grpc.ServerStream) error {
+	var ignored struct{}
+	if err := stream.RecvMsg(&ignored); err != nil {
+		return err
+	}
+	return stream.SendMsg(&coordinator.HelloResponse{Reply: coordinator.Reply{Standing: i.locator.Standing()}})
+}
+
+// Follow keeps a locator up to date until ctx ends: it asks who the replicas are when their membership has changed, or
+// when no leader has answered for a while.
+func Follow(ctx context.Context, l *locator.Locator) error {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if l.Behind() || !l.HeardWithin(followSilence) {
+			ask(ctx, l)
+		}
+	}
+}
+
+func ask(ctx context.Context, l *locator.Locator) {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	_, _ = locator.Call[coordinator.HelloRequest, coordinator.HelloResponse](
+		ctx, l, coordinator.MethodHello, locator.Limits{}, &coordinator.HelloRequest{}) // the locator logs a lost leader
+}
--- a/internal/launcher/replica.go
+++ b/internal/launcher/replica.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lagoonmill/lagoonmill/internal/coordinator"
+	"github.com/lagoonmill/lagoonmill/internal/introducer"
 	"github.com/lagoonmill/lagoonmill/internal/journaler"
 	"github.com/lagoonmill/lagoonmill/internal/locator"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
@@ -73,6 +74,8 @@
 	r.grpc = newGRPC()
 	r.coordinator.Register(r.grpc)
 	r.sender.Register(r.grpc)
+	seeds := introducer.New(address, r.locator, r.log)
+	seeds.Register(r.grpc)
 	r.group.Run("replica", r.node.Run)
 	if seed && r.settings.First {
 		r.node.BootstrapWith(coordinator.FirstMembership(r.settings.Seeds))
@@ -81,9 +84,21 @@
 	r.group.Run("leader", r.coordinator.Lead)
 	r.group.Run("membership", r.coordinator.Heal)
 	r.group.Run("enrolment", func(ctx context.Context) error { return r.coordinator.Enrol(ctx, r.locator) })
+	r.group.Run("announcements", func(ctx context.Context) error { return seeds.Announce(ctx, r.introduction) })
 	return nil
 }
 
+// introduction returns who the replicas are: as the log says, or as others told this replica while its log is empty.
+func (r *Replica) introduction() locator.Standing {
+	if s := r.coordinator.Introduction(); len(s.Members) > 0 {
+		return s
+	}
+	return r.locator.Standing()
+}
+
+// Status returns the state of the replica, which must have been started.
+func (r *Replica) Status() replicator.Status { return r.node.Status() }
+
 func (r *Replica) openJournal(named bool) (err error) {
 	if named {
 		r.journal, err = journaler.OpenAs(r.settings.DataDir, r.settings.Coordinator.Address)
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -1,36 +1,27 @@
 package locator
 
 import (
-	"context"
-	"errors"
 	"slices"
 	"sync"
-	"time"
 
 	"google.golang.org/grpc"
 
-	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/messenger"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
-// ErrUnavailable tells that no leader answered in time; the call may have been carried out.
-var ErrUnavailable = errors.New("no control replica leads that can be reached")
+// maxMembers bounds the addresses learnt from replicas: several generations of a membership. Older ones are forgotten.
+const maxMembers = 32
 
-const (
-	// tryTimeout bounds one try of a call: some round trips and disk syncs, and short against the callers' patience.
-	tryTimeout = 600 * time.Millisecond
-	// retryPause is the pause after a try, a fraction of an election.
-	retryPause = 40 * time.Millisecond
-)
-
-// Standing is what a replica says of itself in every answer.
+// Standing is what a replica says of itself and of the others.
 type Standing struct {
 	NotLeader bool     `cbor:"1,keyasint,omitempty"`
 	Leader    string   `cbor:"2,keyasint,omitempty"` // address of the leader, where it is known
-	Members   []string `cbor:"3,keyasint,omitempty"` // addresses of all members
+	Members   []string `cbor:"3,keyasint,omitempty"` // addresses of all members; a leader leaves them out of most answers
 	Uncertain bool     `cbor:"4,keyasint,omitempty"` // the call may be carried out all the same
+	Term      uint64   `cbor:"5,keyasint,omitempty"` // of the leader; a hint of an earlier term is out of date
+	Revision  uint64   `cbor:"6,keyasint,omitempty"` // of the membership; it grows with each change
 }
 
 // Response is an answer of a control replica.
@@ -44,18 +35,22 @@
 	log   logger.Logger
 	clock timekeeper.Monotonic
 
-	mu        sync.Mutex
-	addresses []string
-	conns     map[string]*grpc.ClientConn
-	leader    string
-	next      int
-	heard     timekeeper.Millis // when a leader last answered
-	lost      bool              // no leader has answered for a while, and this was logged
+	mu       sync.Mutex
+	seeds    []string // addresses that the settings name
+	members  []string // addresses that replicas told, the last told first
+	conns    map[string]*grpc.ClientConn
+	leader   string
+	term     uint64 // of leader
+	revision uint64 // of the newest membership that members holds
+	newest   uint64 // of the newest membership that exists, as far as a replica told
+	next     int
+	heard    timekeeper.Millis // when a leader last answered
+	lost     bool              // no leader has answered for a while, and this was logged
 }
 
 // New returns a locator that starts with the given addresses.
-func New(addresses []string, log logger.Logger) *Locator {
-	return &Locator{log: log, addresses: slices.Clone(addresses), conns: map[string]*grpc.ClientConn{}}
+func New(seeds []string, log logger.Logger) *Locator {
+	return &Locator{log: log, seeds: slices.Clone(seeds), conns: map[string]*grpc.ClientConn{}}
 }
 
 // Close closes all connections.
@@ -68,95 +63,39 @@
 	}
 }
 
-// Add makes further addresses of replicas known.
-func (l *Locator) Add(addresses []string) {
+// SetSeeds replaces the addresses that the settings name; what replicas have told stays.
+func (l *Locator) SetSeeds(seeds []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, address := range addresses {
-		if !slices.Contains(l.addresses, address) {
-			l.addresses = append(l.addresses, address)
-		}
-	}
+	l.seeds = slices.Clone(seeds)
 }
 
-// HeardWithin reports whether a leader answered within the span that ends now.
-func (l *Locator) HeardWithin(span timekeeper.Millis) bool {
+// Seeds returns the addresses that the settings name.
+func (l *Locator) Seeds() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heard > 0 && l.clock.Now()-l.heard <= span
-}
-
-// Limits bound a call beyond its context; a zero field sets no bound.
-type Limits struct {
-	Hold   time.Duration // how much longer than other calls this one may take, where the leader answers late on purpose
-	Unsent time.Duration // how long a leader is looked for while no replica can have taken the call
-}
-
-// CallError tells that no leader answered in time.
-type CallError struct {
-	Sent  bool // a replica may have taken the call, so that it may have been or be carried out
-	Cause error
+	return slices.Clone(l.seeds)
 }
 
-// Error returns the text of the error.
-func (e *CallError) Error() string { return ErrUnavailable.Error() + ": " + e.Cause.Error() }
-
-// Unwrap returns ErrUnavailable and the cause.
-func (e *CallError) Unwrap() []error { return []error{ErrUnavailable, e.Cause} }
-
-// Call calls a method of the leader until one answers, ctx ends or a limit is reached; it then returns a CallError.
-func Call[Req any, Resp Response](ctx context.Context, l *Locator, method string, limits Limits, r *Req) (Resp, error) {
-	failed := &CallError{}
-	began := time.Now()
-	for {
-		resp, err := try[Req, Resp](ctx, l, method, limits.Hold, r)
-		if err == nil && !resp.Place().NotLeader {
-			return resp, nil
-		}
-		failed.Cause = errors.Join(err, ctx.Err())
-		failed.Sent = failed.Sent || err != nil && !messenger.Unsent(err) || err == nil && resp.Place().Uncertain
-		late := limits.Unsent > 0 && !failed.Sent && time.Since(began) > limits.Unsent
-		if late || !pause(ctx) {
-			var none Resp
-			l.noteLost()
-			return none, failed.withCause()
-		}
-	}
-}
-
-func (e *CallError) withCause() *CallError {
-	if e.Cause == nil {
-		e.Cause = errors.New("the replicas that answer do not lead")
-	}
-	return e
+// Standing returns what is known of the replicas, for others who know less.
+func (l *Locator) Standing() Standing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Standing{NotLeader: true, Leader: l.leader, Members: slices.Clone(l.members), Term: l.term, Revision: l.revision}
 }
 
-// pause waits before the next try; it returns false when ctx has ended.
-func pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(retryPause):
-		return true
-	}
+// HeardWithin reports whether a leader answered within the span that ends now.
+func (l *Locator) HeardWithin(span timekeeper.Millis) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard > 0 && l.clock.Now()-l.heard <= span
 }
 
-func try[Req any, Resp Response](ctx context.Context, l *Locator, method string, hold time.Duration, r *Req) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+hold)
-	defer cancel()
-	var none Resp
-	address := l.guess()
-	conn, err := l.conn(address)
-	if err != nil {
-		return none, err
-	}
-	resp, err := encoder.Call[Req, Resp](ctx, conn, method, r)
-	if err != nil {
-		l.forget(address, errors.Is(ctx.Err(), context.DeadlineExceeded))
-		return none, err
-	}
-	l.learn(address, (*resp).Place())
-	return *resp, nil
+// Behind reports whether a newer membership exists than the one whose addresses are known.
+func (l *Locator) Behind() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest > l.revision
 }
 
 // conn returns a connection to address; it is dialled when first used.
@@ -182,7 +121,11 @@
 		return l.leader
 	}
 	l.next++
-	return l.addresses[l.next%len(l.addresses)]
+	i := l.next % (len(l.seeds) + len(l.members))
+	if i < len(l.seeds) {
+		return l.seeds[i]
+	}
+	return l.members[i-len(l.seeds)]
 }
 
 // forget drops the guess of the leader; a connection on which a call got no answer may be silent for good.
@@ -198,22 +141,65 @@
 	}
 }
 
-// learn takes what a replica said of the leader and of the members.
+// learn takes what a replica answered of the leader and of the members.
 func (l *Locator) learn(asked string, s Standing) {
-	l.Add(s.Members)
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if s.NotLeader {
-		l.leader = s.Leader
-		if s.Leader == asked {
-			l.leader = ""
-		}
+		l.Learn(s)
+		l.contradict(asked)
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learnMembers(s)
 	if l.lost || l.heard == 0 {
-		l.log.Log(logger.LeaderFound, logger.F("address", asked))
+		l.log.Log(logger.LeaderFound, logger.F("address", asked), logger.F("term", s.Term))
+	}
+	l.term, l.leader, l.heard, l.lost = s.Term, asked, l.clock.Now(), false
+}
+
+// contradict drops the guess of the leader if it is a replica that has just answered that it does not lead.
+func (l *Locator) contradict(asked string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == asked {
+		l.leader = ""
+	}
+}
+
+// Learn takes what somebody tells of the replicas. A leader of a term that is over is no news.
+func (l *Locator) Learn(s Standing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learnMembers(s)
+	if s.Term < l.term || s.Term == l.term && s.Leader == "" {
+		return
+	}
+	l.term, l.leader = s.Term, s.Leader
+}
+
+// learnMembers notes the addresses of members; the caller holds mu.
+func (l *Locator) learnMembers(s Standing) {
+	l.newest = max(l.newest, s.Revision)
+	if len(s.Members) == 0 {
+		return
+	}
+	if s.Revision < l.revision {
+		l.members = joined(l.members, s.Members)
+		return
+	}
+	l.revision = s.Revision
+	l.members = joined(s.Members, l.members)
+}
+
+// joined returns the addresses of both lists without repetitions, the first ones of those that are too many.
+func joined(first, then []string) []string {
+	list := slices.Clone(first)
+	for _, address := range then {
+		if !slices.Contains(list, address) {
+			list = append(list, address)
+		}
 	}
-	l.leader, l.heard, l.lost = asked, l.clock.Now(), false
+	return list[:min(len(list), maxMembers)]
 }
 
 func (l *Locator) noteLost() {
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -86,7 +87,7 @@
 	if _, err := callOnce(t, l); err != nil {
 		t.Fatal(err)
 	}
-	l.Add([]string{serveReplica(t, func(context.Context, *ask) (*answer, error) { return &answer{Name: "next"}, nil })})
+	l.SetSeeds([]string{serveReplica(t, func(context.Context, *ask) (*answer, error) { return &answer{Name: "next"}, nil })})
 	got, err := callOnce(t, l)
 	if err != nil || got.Name != "next" {
 		t.Fatalf("got %+v, error %v", got, err)
@@ -138,3 +139,24 @@
 		t.Errorf("error %v, context %v", err, ctx.Err())
 	}
 }
+
+// TestMembershipIsBounded learns many generations of replicas; the newest are kept, and those that are behind are
+// told from those that are not.
+func TestMembershipIsBounded(t *testing.T) {
+	l := New([]string{"seed"}, logger.Logger{})
+	defer l.Close()
+	for revision := range uint64(100) {
+		l.Learn(Standing{NotLeader: true, Revision: revision + 1, Members: []string{fmt.Sprintf("replica-%d", revision)}})
+	}
+	known := l.Standing()
+	if len(known.Members) != maxMembers || known.Members[0] != "replica-99" {
+		t.Errorf("%d members are known, the first is %s", len(known.Members), known.Members[0])
+	}
+	if l.Behind() {
+		t.Error("the locator holds the newest membership and thinks itself behind")
+	}
+	l.Learn(Standing{NotLeader: true, Revision: 101})
+	if !l.Behind() {
+		t.Error("a newer membership exists and the locator does not know")
+	}
+}
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -119,6 +119,7 @@
 	RunnerCallFailed = declare(4019, Warning, "call of the runner failed", "The order may be carried out all the same; it is sent again.")
 	AttachmentLost   = declare(4020, Warning, "attachment no longer holds", "The leader gave the worker up or another process attached; the agent attaches anew.")
 	LeaderFound      = declare(4021, Info, "control leader found", "Gives its address.")
+	ReplicasTold     = declare(4024, Info, "replicas told", "Another process told who the replicas are; gives leader, term, revision of the membership and addresses.")
 	LeaderLost       = declare(4022, Warning, "control leader lost", "No replica that leads answers; gives the time since the last answer.")
 	AnnouncementBad  = declare(4023, Warning, "announcement not understood", "It names no runner to use; gives the reason.")
 )
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -177,11 +177,12 @@
 	Commit  uint64
 	Last    uint64
 	Members Membership
+	Revised uint64 // index of the entry that Members came with
 }
 
 // Status returns the replica's present state.
 func (c *Core) Status() Status {
-	return Status{c.id, c.term, c.role, c.leader, c.commit, c.log.last(), c.log.membership()}
+	return Status{c.id, c.term, c.role, c.leader, c.commit, c.log.last(), c.log.membership(), c.log.membershipIndex()}
 }
 
 // Tick moves the clock; it starts elections and heartbeats that are due.
