Refuse truthfully and at once what no leader has taken

Cause: during an outage of the core, submissions ended in 504 though no replica had taken them. An entry sent its call to the leader that it knew last; powered off, that one answers nothing, so the call counted as sent. A call of another goroutine whose connection was replaced meanwhile counted as sent too, although it had never left. And every call searched for 1.2 s, however long ago the leader had been lost. Ruled out: a proposal that was left undecided (the logs show no replica that had the jobs). Change: - whether a call left is taken from gRPC's own events (messenger.UnsentError), not from the text of its error; - a call that must not be left undecided goes only to a replica that has just said that it leads (locator.Limits.Greet); - a leader without a quorum says so before the entry gives it up (confirmTimeout follows locator.TryTimeout); - a search ends an election's time after the leader was lost, so that calls are refused at once in a long outage, with 1 s to come again; one that a replica may have taken goes on as long as the caller waits; - a connection is tried again after 250 ms at most, not 1 s.

--- a/internal/coordinator/confirmer.go
+++ b/internal/coordinator/confirmer.go
@@ -49,7 +49,7 @@
 	r := c.next
 	c.next = nil
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout.Duration())
+		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 		defer cancel()
 		_, r.err = c.read(ctx)
 		close(r.done)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,6 +53,7 @@
 
 // Register adds the coordinator's service to a gRPC server that uses encoder.Codec.
 func (c *Coordinator) Register(server *grpc.Server) {
+	locator.RegisterHello(server, c.Introduction)
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*any)(nil),
@@ -65,7 +66,6 @@
 			encoder.Unary("Watch", c.watch),
 			encoder.Unary("Report", c.report),
 			encoder.Unary("Leave", c.leave),
-			encoder.Unary("Hello", c.hello),
 			encoder.Unary("Join", c.join),
 			encoder.Unary("Describe", c.describe),
 		},
@@ -94,15 +94,15 @@
 	return c.Introduction()
 }
 
-func (c *Coordinator) reply() Reply { return Reply{c.standing()} }
+func (c *Coordinator) reply() locator.Reply { return locator.Reply{Standing: c.standing()} }
 
 // notLeader is what a replica answers that does not lead, or no longer.
-func (c *Coordinator) notLeader() Reply {
+func (c *Coordinator) notLeader() locator.Reply {
 	s := c.standing()
 	if !s.NotLeader {
 		s = locator.Standing{NotLeader: true}
 	}
-	return Reply{s}
+	return locator.Reply{Standing: s}
 }
 
 // confirm returns once this replica is known to lead and to hold everything that was committed before the call.
@@ -130,10 +130,6 @@
 	return answer, nil
 }
 
-func (c *Coordinator) hello(context.Context, *HelloRequest) (*HelloResponse, error) {
-	return &HelloResponse{Reply{c.Introduction()}}, nil
-}
-
 // handOverTimeout bounds the wait for another leader in a planned stop: an election.
 const handOverTimeout = time.Second
 
--- a/internal/coordinator/describe.go
+++ b/internal/coordinator/describe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/lagoonmill/lagoonmill/internal/locator"
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
@@ -52,14 +53,14 @@
 
 // DescribeResponse is the state of the system, confirmed by a quorum.
 type DescribeResponse struct {
-	Reply   `cbor:"1,keyasint"`
-	Term    uint64         `cbor:"2,keyasint"`
-	Index   uint64         `cbor:"3,keyasint"` // of the last command applied
-	Version uint64         `cbor:"4,keyasint"` // of the configuration
-	Members []MemberStatus `cbor:"5,keyasint"`
-	Queues  []QueueStatus  `cbor:"6,keyasint"`
-	Workers []WorkerStatus `cbor:"7,keyasint"`
-	Jobs    []JobStatus    `cbor:"8,keyasint,omitempty"`
+	locator.Reply `cbor:"1,keyasint"`
+	Term          uint64         `cbor:"2,keyasint"`
+	Index         uint64         `cbor:"3,keyasint"` // of the last command applied
+	Version       uint64         `cbor:"4,keyasint"` // of the configuration
+	Members       []MemberStatus `cbor:"5,keyasint"`
+	Queues        []QueueStatus  `cbor:"6,keyasint"`
+	Workers       []WorkerStatus `cbor:"7,keyasint"`
+	Jobs          []JobStatus    `cbor:"8,keyasint,omitempty"`
 }
 
 // MemberStatus is a control replica.
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/lagoonmill/lagoonmill/internal/locator"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
@@ -11,8 +12,9 @@
 	clockDrift = 0.02
 	// leaseMargin covers rounding and the time that a runner takes to end what it runs.
 	leaseMargin timekeeper.Millis = 300
-	// confirmTimeout bounds the wait for a quorum; a call that waited longer is answered as not decided.
-	confirmTimeout timekeeper.Millis = 1000
+	// confirmTimeout bounds the wait for a quorum. It ends well before the caller gives this replica up: the caller then
+	// knows that the call was not taken.
+	confirmTimeout = locator.TryTimeout * 2 / 3
 )
 
 // leases knows until when each worker may hold its runs. It is safe for concurrent use; mu guards its maps.
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -20,18 +20,9 @@
 	MethodWatch     = "/" + serviceName + "/Watch"
 	MethodReport    = "/" + serviceName + "/Report"
 	MethodLeave     = "/" + serviceName + "/Leave"
-	MethodHello     = "/" + serviceName + "/Hello"
 	MethodJoin      = "/" + serviceName + "/Join"
 )
 
-// Reply is the part that all answers share.
-type Reply struct {
-	Standing locator.Standing `cbor:"1,keyasint"`
-}
-
-// Place returns the standing of the replica that answered.
-func (r Reply) Place() locator.Standing { return r.Standing }
-
 // Outcome is how a caller's call was decided.
 type Outcome uint8
 
@@ -82,13 +73,13 @@
 
 // CallResponse answers SubmitRequest and CallRequest.
 type CallResponse struct {
-	Reply      `cbor:"1,keyasint"`
-	Outcome    Outcome           `cbor:"2,keyasint"`
-	Phase      tracker.JobPhase  `cbor:"3,keyasint,omitempty"`
-	Count      int               `cbor:"4,keyasint,omitempty"`
-	IsCount    bool              `cbor:"7,keyasint,omitempty"` // the path named a queue: Count was asked for
-	RetryAfter timekeeper.Millis `cbor:"5,keyasint,omitempty"`
-	Reason     string            `cbor:"6,keyasint,omitempty"`
+	locator.Reply `cbor:"1,keyasint"`
+	Outcome       Outcome           `cbor:"2,keyasint"`
+	Phase         tracker.JobPhase  `cbor:"3,keyasint,omitempty"`
+	Count         int               `cbor:"4,keyasint,omitempty"`
+	IsCount       bool              `cbor:"7,keyasint,omitempty"` // the path named a queue: Count was asked for
+	RetryAfter    timekeeper.Millis `cbor:"5,keyasint,omitempty"`
+	Reason        string            `cbor:"6,keyasint,omitempty"`
 }
 
 // ConfigureRequest replaces the configuration unless a newer one is in force.
@@ -101,10 +92,10 @@
 
 // ConfigurationResponse answers ConfigureRequest and ReadRequest.
 type ConfigurationResponse struct {
-	Reply   `cbor:"1,keyasint"`
-	Outcome Outcome `cbor:"2,keyasint"`
-	Version uint64  `cbor:"3,keyasint"` // in force
-	Source  []byte  `cbor:"4,keyasint,omitempty"`
+	locator.Reply `cbor:"1,keyasint"`
+	Outcome       Outcome `cbor:"2,keyasint"`
+	Version       uint64  `cbor:"3,keyasint"` // in force
+	Source        []byte  `cbor:"4,keyasint,omitempty"`
 }
 
 // AttachRequest makes the agent the one that gives orders on its worker.
@@ -114,9 +105,9 @@
 
 // AttachResponse gives the fencing token.
 type AttachResponse struct {
-	Reply    `cbor:"1,keyasint"`
-	Accepted bool   `cbor:"2,keyasint"`
-	Epoch    uint64 `cbor:"3,keyasint,omitempty"`
+	locator.Reply `cbor:"1,keyasint"`
+	Accepted      bool   `cbor:"2,keyasint"`
+	Epoch         uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RunReport is a run as the runner lists it.
@@ -148,12 +139,12 @@
 
 // WatchResponse gives the worker's runs, unless they are as Seen, and a lease.
 type WatchResponse struct {
-	Reply    `cbor:"1,keyasint"`
-	Lost     bool              `cbor:"2,keyasint,omitempty"` // the attachment no longer holds
-	Version  uint64            `cbor:"3,keyasint,omitempty"`
-	Orders   []Order           `cbor:"4,keyasint,omitempty"`
-	Recorded int               `cbor:"5,keyasint,omitempty"` // number of the last end that is in the log
-	Lease    timekeeper.Millis `cbor:"6,keyasint,omitempty"` // counted from when the agent sent the request
+	locator.Reply `cbor:"1,keyasint"`
+	Lost          bool              `cbor:"2,keyasint,omitempty"` // the attachment no longer holds
+	Version       uint64            `cbor:"3,keyasint,omitempty"`
+	Orders        []Order           `cbor:"4,keyasint,omitempty"`
+	Recorded      int               `cbor:"5,keyasint,omitempty"` // number of the last end that is in the log
+	Lease         timekeeper.Millis `cbor:"6,keyasint,omitempty"` // counted from when the agent sent the request
 }
 
 // ReportRequest hands in ends of runs.
@@ -163,8 +154,8 @@
 
 // ReportResponse tells that the ends are in the log.
 type ReportResponse struct {
-	Reply `cbor:"1,keyasint"`
-	Lost  bool `cbor:"2,keyasint,omitempty"`
+	locator.Reply `cbor:"1,keyasint"`
+	Lost          bool `cbor:"2,keyasint,omitempty"`
 }
 
 // LeaveRequest tells that the worker's runner has ended.
@@ -175,15 +166,7 @@
 
 // LeaveResponse tells that the end is in the log.
 type LeaveResponse struct {
-	Reply `cbor:"1,keyasint"`
-}
-
-// HelloRequest asks a replica for its standing.
-type HelloRequest struct{}
-
-// HelloResponse answers HelloRequest.
-type HelloResponse struct {
-	Reply `cbor:"1,keyasint"`
+	locator.Reply `cbor:"1,keyasint"`
 }
 
 // JoinRequest asks to receive the log, and to vote once that helps.
@@ -194,5 +177,5 @@
 
 // JoinResponse tells that the replica is a member.
 type JoinResponse struct {
-	Reply `cbor:"1,keyasint"`
+	locator.Reply `cbor:"1,keyasint"`
 }
--- a/internal/introducer/introducer.go
+++ b/internal/introducer/introducer.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/grpc"
 
-	"github.com/lagoonmill/lagoonmill/internal/coordinator"
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/locator"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
@@ -168,7 +167,7 @@
 	if err := stream.RecvMsg(&ignored); err != nil {
 		return err
 	}
-	return stream.SendMsg(&coordinator.HelloResponse{Reply: coordinator.Reply{Standing: i.locator.Standing()}})
+	return stream.SendMsg(&locator.HelloResponse{Reply: locator.Reply{Standing: i.locator.Standing()}})
 }
 
 // Follow keeps a locator up to date until ctx ends: it asks who the replicas are when their membership has changed, or
@@ -191,6 +190,5 @@
 func ask(ctx context.Context, l *locator.Locator) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	_, _ = locator.Call[coordinator.HelloRequest, coordinator.HelloResponse](
-		ctx, l, coordinator.MethodHello, locator.Limits{}, &coordinator.HelloRequest{}) // the locator logs a lost leader
+	_ = locator.Hello(ctx, l) // the locator logs a lost leader
 }
--- a/internal/introducer/introducer_test.go
+++ b/internal/introducer/introducer_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/lagoonmill/lagoonmill/internal/coordinator"
 	"github.com/lagoonmill/lagoonmill/internal/locator"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 )
@@ -48,9 +47,7 @@
 	defer asker.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	_, err := locator.Call[coordinator.HelloRequest, coordinator.HelloResponse](
-		ctx, asker, coordinator.MethodHello, locator.Limits{}, &coordinator.HelloRequest{})
-	if err == nil {
+	if err := locator.Hello(ctx, asker); err == nil {
 		t.Error("a process without a replica claimed to lead")
 	}
 	want := []string{"127.0.0.1:2", "127.0.0.1:3"}
--- a/internal/locator/call.go
+++ b/internal/locator/call.go
@@ -5,16 +5,25 @@
 	"errors"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/messenger"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 // ErrUnavailable tells that no leader answered in time; the call may have been carried out.
 var ErrUnavailable = errors.New("no control replica leads that can be reached")
 
 const (
-	// tryTimeout bounds one try of a call: some round trips and disk syncs, and short against the callers' patience.
-	tryTimeout = 600 * time.Millisecond
+	// TryTimeout bounds one try of a call: some round trips and disk syncs, and short against the callers' patience.
+	TryTimeout = 600 * time.Millisecond
+	// greetTimeout bounds the question whether a replica is there: a round trip beside other load.
+	greetTimeout = 250 * time.Millisecond
+	// greetAfter is the time since the leader's last answer after which it is asked whether it is there.
+	greetAfter timekeeper.Millis = 50
+	// shortestSearch is how long a leader is looked for at least.
+	shortestSearch = 250 * time.Millisecond
 	// retryPause is the pause after a try, a fraction of an election.
 	retryPause = 40 * time.Millisecond
 )
@@ -22,7 +31,8 @@
 // Limits bound a call beyond its context; a zero field sets no bound.
 type Limits struct {
 	Hold   time.Duration // how much longer than other calls this one may take, where the leader answers late on purpose
-	Unsent time.Duration // how long a leader is looked for while no replica can have taken the call
+	Unsent time.Duration // how long after the leader was lost one is looked for, while no replica can have taken the call
+	Greet  bool          // a replica that was not heard just now is asked whether it leads before it gets the call
 }
 
 // CallError tells that no leader answered in time.
@@ -40,15 +50,15 @@
 // Call calls a method of the leader until one answers, ctx ends or a limit is reached; it then returns a CallError.
 func Call[Req any, Resp Response](ctx context.Context, l *Locator, method string, limits Limits, r *Req) (Resp, error) {
 	failed := &CallError{}
-	began := time.Now()
+	began := l.clock.Now()
 	for {
-		resp, err := try[Req, Resp](ctx, l, method, limits.Hold, r)
+		resp, err := try[Req, Resp](ctx, l, method, limits, r)
 		if err == nil && !resp.Place().NotLeader {
 			return resp, nil
 		}
 		failed.Cause = errors.Join(err, ctx.Err())
 		failed.Sent = failed.Sent || err != nil && !messenger.Unsent(err) || err == nil && resp.Place().Uncertain
-		late := limits.Unsent > 0 && !failed.Sent && time.Since(began) > limits.Unsent
+		late := limits.Unsent > 0 && !failed.Sent && l.hopeless(began, timekeeper.FromDuration(limits.Unsent))
 		if late || !pause(ctx) {
 			var none Resp
 			l.noteLost()
@@ -64,6 +74,17 @@
 	return e
 }
 
+// hopeless reports whether a search that began at a time has gone on for long enough: the leader was lost a span ago.
+func (l *Locator) hopeless(began, span timekeeper.Millis) bool {
+	now := l.clock.Now()
+	if now-began < timekeeper.FromDuration(shortestSearch) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.missed > 0 && now-l.missed > span
+}
+
 // pause waits before the next try; it returns false when ctx has ended.
 func pause(ctx context.Context) bool {
 	select {
@@ -74,8 +95,8 @@
 	}
 }
 
-func try[Req any, Resp Response](ctx context.Context, l *Locator, method string, hold time.Duration, r *Req) (Resp, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+hold)
+func try[Req any, Resp Response](ctx context.Context, l *Locator, method string, limits Limits, r *Req) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, TryTimeout+limits.Hold)
 	defer cancel()
 	var none Resp
 	address := l.guess()
@@ -83,6 +104,11 @@
 	if err != nil {
 		return none, err
 	}
+	if limits.Greet && !l.HeardWithin(greetAfter) {
+		if err := l.greet(ctx, address, conn); err != nil {
+			return none, &messenger.UnsentError{Cause: err}
+		}
+	}
 	resp, err := encoder.Call[Req, Resp](ctx, conn, method, r)
 	if err != nil {
 		l.forget(address, errors.Is(ctx.Err(), context.DeadlineExceeded))
@@ -91,3 +117,22 @@
 	l.learn(address, (*resp).Place())
 	return *resp, nil
 }
+
+var errNotLeading = errors.New("the replica does not lead")
+
+// greet asks a replica whether it leads. A call that must not be left undecided goes out only behind such an answer: a
+// replica that is down or cut off would else leave every first call of every caller undecided.
+func (l *Locator) greet(ctx context.Context, address string, conn *grpc.ClientConn) error {
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	resp, err := encoder.Call[helloRequest, HelloResponse](ctx, conn, methodHello, &helloRequest{})
+	if err != nil {
+		l.forget(address, errors.Is(ctx.Err(), context.DeadlineExceeded))
+		return err
+	}
+	l.learn(address, resp.Place())
+	if resp.Place().NotLeader {
+		return errNotLeading
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/locator/hello.go
@@ -0,0 +1,49 @@
+package locator
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+)
+
+const (
+	serviceName = "lagoonmill.locator"
+	helloName   = "Hello"
+	methodHello = "/" + serviceName + "/" + helloName
+)
+
+// Reply is the part that all answers of replicas share; a process that is no replica may answer with it alone.
+type Reply struct {
+	Standing Standing `cbor:"1,keyasint"`
+}
+
+// Place returns the standing of the replica that answered.
+func (r Reply) Place() Standing { return r.Standing }
+
+// helloRequest asks a replica for its standing.
+type helloRequest struct{}
+
+// HelloResponse is an answer that holds nothing but the standing.
+type HelloResponse struct {
+	Reply `cbor:"1,keyasint"`
+}
+
+// RegisterHello has a replica tell its standing to whoever asks. The server uses encoder.Codec.
+func RegisterHello(server *grpc.Server, standing func() Standing) {
+	hello := func(context.Context, *helloRequest) (*HelloResponse, error) {
+		return &HelloResponse{Reply{standing()}}, nil
+	}
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods:     []grpc.MethodDesc{encoder.Unary(helloName, hello)},
+	}, nil)
+}
+
+// Hello asks for the leader until one answers or ctx ends. The answer is not confirmed by a quorum.
+func Hello(ctx context.Context, l *Locator) error {
+	_, err := Call[helloRequest, HelloResponse](ctx, l, methodHello, Limits{}, &helloRequest{})
+	return err
+}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -45,6 +45,7 @@
 	newest   uint64 // of the newest membership that exists, as far as a replica told
 	next     int
 	heard    timekeeper.Millis // when a leader last answered
+	missed   timekeeper.Millis // when a call first found no leader since one answered; zero while they find it
 	lost     bool              // no leader has answered for a while, and this was logged
 }
 
@@ -135,6 +136,7 @@
 	if l.leader == address {
 		l.leader = ""
 	}
+	l.miss()
 	if conn := l.conns[address]; conn != nil && silent {
 		_ = conn.Close()
 		delete(l.conns, address)
@@ -154,7 +156,7 @@
 	if l.lost || l.heard == 0 {
 		l.log.Log(logger.LeaderFound, logger.F("address", asked), logger.F("term", s.Term))
 	}
-	l.term, l.leader, l.heard, l.lost = s.Term, asked, l.clock.Now(), false
+	l.term, l.leader, l.heard, l.missed, l.lost = s.Term, asked, l.clock.Now(), 0, false
 }
 
 // contradict drops the guess of the leader if it is a replica that has just answered that it does not lead.
@@ -164,6 +166,14 @@
 	if l.leader == asked {
 		l.leader = ""
 	}
+	l.miss()
+}
+
+// miss notes that no leader was found; the caller holds mu.
+func (l *Locator) miss() {
+	if l.missed == 0 {
+		l.missed = l.clock.Now()
+	}
 }
 
 // Learn takes what somebody tells of the replicas. A leader of a term that is over is no news.
@@ -205,7 +215,7 @@
 func (l *Locator) noteLost() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.lost && l.heard > 0 && l.clock.Now()-l.heard > timekeeper.FromDuration(tryTimeout) {
+	if !l.lost && l.heard > 0 && l.clock.Now()-l.heard > timekeeper.FromDuration(TryTimeout) {
 		l.lost = true
 		l.log.Log(logger.LeaderLost, logger.F("silence", l.clock.Now()-l.heard))
 	}
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 type ask struct{}
@@ -25,8 +27,8 @@
 
 const method = "/test/Ask"
 
-// serveReplica serves one replica that answers as its function says.
-func serveReplica(t *testing.T, handle func(context.Context, *ask) (*answer, error)) string {
+// serveReplica serves one replica that answers as its function says, and greets as standing says if that is given.
+func serveReplica(t *testing.T, handle func(context.Context, *ask) (*answer, error), standing ...func() Standing) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,6 +38,9 @@
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: "test", HandlerType: (*any)(nil), Methods: []grpc.MethodDesc{encoder.Unary("Ask", handle)},
 	}, nil)
+	for _, greet := range standing {
+		RegisterHello(server, greet)
+	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	return listener.Addr().String()
@@ -128,6 +133,70 @@
 	}
 }
 
+// TestCallIsNotSentToASilentLeader has the known leader fall silent. A call that must not be left undecided does not
+// go out to it, so that the caller may be told that it was not taken; it goes to the next leader under Greet.
+func TestCallIsNotSentToASilentLeader(t *testing.T) {
+	var silent atomic.Bool
+	var asked atomic.Int32
+	old := serveReplica(t, func(ctx context.Context, _ *ask) (*answer, error) {
+		asked.Add(1)
+		if silent.Load() {
+			<-ctx.Done()
+		}
+		return &answer{Name: "old"}, ctx.Err()
+	}, func() Standing {
+		for silent.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		return Standing{}
+	})
+	t.Cleanup(func() { silent.Store(false) })
+	l := New([]string{old}, logger.Logger{})
+	defer l.Close()
+	if _, err := callOnce(t, l); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	silent.Store(true)
+	time.Sleep(2 * greetAfter.Duration())
+	_, err := Call[ask, answer](ctx, l, method, Limits{Unsent: 300 * time.Millisecond, Greet: true}, &ask{})
+	var failed *CallError
+	if !errors.As(err, &failed) || failed.Sent {
+		t.Errorf("error %v, want one that says that nothing was sent", err)
+	}
+	if n := asked.Load(); n != 1 {
+		t.Errorf("the silent leader got %d calls, want the first alone", n)
+	}
+	l.SetSeeds([]string{serveReplica(t, func(context.Context, *ask) (*answer, error) { return &answer{Name: "next"}, nil },
+		func() Standing { return Standing{Term: 2} })})
+	got, err := Call[ask, answer](ctx, l, method, Limits{Greet: true}, &ask{})
+	if err != nil || got.Name != "next" {
+		t.Errorf("got %+v, error %v", got, err)
+	}
+}
+
+// TestCallsEndAtOnceOnceTheLeaderIsLongLost has the second of two calls wait no longer than one look takes.
+func TestCallsEndAtOnceOnceTheLeaderIsLongLost(t *testing.T) {
+	l := New([]string{"127.0.0.1:1"}, logger.Logger{})
+	defer l.Close()
+	l.learn("127.0.0.1:1", Standing{Term: 1})
+	const span = 600 * timekeeper.Millis(1)
+	l.forget("127.0.0.1:1", false)
+	began := l.missed
+	if l.hopeless(began, span) {
+		t.Error("the search ends before it has begun")
+	}
+	l.missed -= 2 * span // the leader was lost long ago
+	if now := l.clock.Now(); l.hopeless(now, span) || !l.hopeless(now-timekeeper.FromDuration(shortestSearch), span) {
+		t.Error("a search for a leader that was lost long ago is not as short as a search may be")
+	}
+	l.learn("127.0.0.1:1", Standing{Term: 2})
+	if l.hopeless(began-span, span) {
+		t.Error("the search is given up although a leader has answered")
+	}
+}
+
 // TestSearchEndsEarlyWhileNothingWasSent ends long before the caller's time where no replica takes the call.
 func TestSearchEndsEarlyWhileNothingWasSent(t *testing.T) {
 	l := New([]string{"127.0.0.1:1"}, logger.Logger{})
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -217,7 +217,9 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(encoder.Codec{})),
-		grpc.WithConnectParams(connectParams()))
+		grpc.WithConnectParams(connectParams()),
+		grpc.WithUnaryInterceptor(markUnsent),
+		grpc.WithStatsHandler(deliveryWatcher{}))
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -13,7 +13,7 @@
 
 const (
 	firstRedial    = 50 * time.Millisecond
-	longestRedial  = time.Second
+	longestRedial  = 250 * time.Millisecond
 	connectTimeout = time.Second
 	redialJitter   = 0.2
 	redialFactor   = 1.6
