Decide from an index of the cluster, not by a look at every worker

Cause: each waiting demand of another shape looked at every worker: it filtered them by service and label, grouped them by rack, sorted the runs of each by their end, and summed the idle accelerators; every run was looked up in four maps; the order of jobs worked its keys out in each comparison; all progress was sorted to find the runs that lag. Ruled out: the searches themselves (bounded at 64 a plan), the log's state (a tenth of the time). Change: the board keeps rooms by service and label with their racks (sets.go), the expected ends of each room, idle accelerators by service and members of gangs alone; candidates are shared, their keys worked out once; open jobs are held by the state.

--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -7,31 +7,49 @@
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
-// BenchmarkPlan times decisions on a cluster that is full, with as much work waiting again.
+// BenchmarkPlan times decisions on clusters that are full, with as much work waiting again.
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{11, 60, 300, 1058} {
-		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchmarkPlan(b, workers) })
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchmarkPlan(b, workers, workers*2, mixedJob) })
 	}
+	// The size that the users state: 20,000 tasks run on workers of one accelerator, and as many wait.
+	b.Run("20000-tasks", func(b *testing.B) { benchmarkPlan(b, 1058, 1300, smallTasks) })
 }
 
-func benchmarkPlan(b *testing.B, workers int) {
+// mixedJob returns one of the users' kinds of jobs on workers of eight accelerators.
+func mixedJob(i int) (queue string, step modeler.Step) {
+	switch i % 4 {
+	case 1:
+		return "plans", tasks(2, 4, 8000)
+	case 3:
+		return "urgent", gang(3, 4, 2500)
+	}
+	return "checks", tasks(8, 1, 7000)
+}
+
+// smallTasks returns a job of many tasks on cores alone, or a gang of as many.
+func smallTasks(i int) (queue string, step modeler.Step) {
+	queue, step = "checks", tasks(32, 0, 7000)
+	if i%8 == 7 {
+		queue, step = "plans", gang(32, 0, 8000)
+	}
+	step.Need = modeler.Resources{MilliCores: 1600, MemoryMB: 1000}
+	return queue, step
+}
+
+func benchmarkPlan(b *testing.B, workers, jobs int, job func(i int) (string, modeler.Step)) {
 	p := newPlay(b, Plan, workers)
-	jobs := workers * 2
 	for i := range jobs {
-		queue, step := "checks", tasks(8, 1, 7000)
-		switch i % 4 {
-		case 1:
-			queue, step = "plans", tasks(2, 4, 8000)
-		case 3:
-			queue, step = "urgent", gang(3, 4, 2500)
-		}
+		queue, step := job(i)
 		p.submit(fmt.Sprintf("j%05d", i), queue, "other", 8000, step)
 	}
 	p.run(2*tick, nil)
 	in := p.input()
+	b.Logf("%d runs, %d jobs", len(in.Progress), len(in.State.Open()))
 	const longest = int64(timekeeper.Minute) * int64(time.Millisecond)
 	times := hdr.New(1, longest, 3)
 	for b.Loop() {
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -7,14 +7,15 @@
 
 // demand is a number of equal tasks of one step that want a place.
 type demand struct {
-	candidate
+	*candidate
+	step     modeler.Step
 	instance int
 	tasks    []tracker.TaskKey
 	promised int // tasks of the step for which this plan has started or kept room already
 }
 
-func newDemand(c candidate, instance int, tasks []tracker.TaskKey) demand {
-	return demand{candidate: c, instance: instance, tasks: tasks}
+func newDemand(c *candidate, instance int, tasks []tracker.TaskKey) demand {
+	return demand{candidate: c, step: c.job.Spec(instance), instance: instance, tasks: tasks}
 }
 
 func (d demand) withTasks(tasks []tracker.TaskKey) demand {
@@ -25,8 +26,6 @@
 // group returns what the demand's tasks belong to.
 func (d demand) group() groupKey { return groupKey{d.job.ID, d.instance} }
 
-func (d demand) spec() modeler.Step { return d.job.Spec(d.instance) }
-
 func (d demand) nextAttempt(key tracker.TaskKey) int {
 	return d.job.Tasks[d.instance][key.Index].Attempt + 1
 }
@@ -48,12 +47,12 @@
 }
 
 // work returns the weight of the tasks times their estimate, in thousandths of a core times milliseconds.
-func (d demand) work() int { return len(d.tasks) * d.spec().Need.Weight() * int(d.spec().Estimate) }
+func (d demand) work() int { return len(d.tasks) * d.step.Need.Weight() * int(d.step.Estimate) }
 
 // atOnce returns how many tasks of the step are expected to run at once.
 func (d demand) atOnce() int {
-	waves := d.spec().Waves(d.room)
-	return (d.spec().Count + waves - 1) / waves
+	waves := d.step.Waves(d.room)
+	return (d.step.Count + waves - 1) / waves
 }
 
 // urgentShare is how many times its expected share of the room an urgent step may hold at once. Urgent runs are not
@@ -62,7 +61,7 @@
 
 // holdsEnough reports whether the step must not begin more tasks now, although there may be room.
 func (d demand) holdsEnough() bool {
-	return d.rank == rankUrgent && !d.spec().Gang && d.assigned() >= urgentShare*d.atOnce()
+	return d.rank == rankUrgent && !d.step.Gang && d.assigned() >= urgentShare*d.atOnce()
 }
 
 // lowestVictim returns the rank above which runs may be stopped for the demand. Urgent runs are stopped only for what
@@ -93,8 +92,3 @@
 	}
 	return false
 }
-
-// allows reports whether the worker may run the tasks at all, room aside.
-func (d demand) allows(w tracker.Worker) bool {
-	return w.Profile.Service == d.queue.Service && hasLabel(w, d.spec().Label)
-}
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -16,20 +16,9 @@
 // mustWait reports whether a demand may not begin now, although there may be room: batch work that can wait leaves some
 // room to the urgent work that comes meanwhile.
 func (b *board) mustWait(d demand) bool {
-	if d.rank < rankBatch || d.spec().LongRunning || b.in.Now > d.start+longestWait || d.latestStart()-b.in.Now < timeToSpare {
+	if d.rank < rankBatch || d.step.LongRunning || b.in.Now > d.start+longestWait || d.latestStart()-b.in.Now < timeToSpare {
 		return false
 	}
-	left := b.idleAccelerators(d.queue.Service) - len(d.tasks)*d.spec().Need.Accelerators
+	left := b.idle[d.queue.Service] - len(d.tasks)*d.step.Need.Accelerators
 	return left < d.room.Accelerators/headroomShare
 }
-
-// idleAccelerators returns how many of a service's accelerators are free and promised to nobody.
-func (b *board) idleAccelerators(service string) int {
-	idle := 0
-	for _, r := range b.rooms {
-		if r.worker.Profile.Service == service {
-			idle += max(r.free.Accelerators, 0)
-		}
-	}
-	return idle
-}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 )
@@ -33,7 +32,7 @@
 
 // placeFree finds room that is free now. A demand like one that found none is not looked at again in the same plan.
 func (b *board) placeFree(d demand) (placement, bool) {
-	step := d.spec()
+	step := d.step
 	key := fullKey{d.queue.Service, step.Label, step.Need, len(d.tasks), step.Gang, step.OneRack}
 	if b.mustWait(d) {
 		return nil, false
@@ -66,75 +65,6 @@
 	return best, best != nil
 }
 
-// candidateSets returns the sets of rooms of which one must hold the whole demand: the racks, for a gang that wants one, and
-// else all rooms together. Workers to avoid, and the one on which a task failed last, are left out while others could
-// hold it; a gang that no rack could ever hold is spread.
-func (b *board) candidateSets(d demand) [][]*room {
-	good, all := b.allowed(d)
-	if d.spec().Gang && d.spec().OneRack {
-		for _, rooms := range [][]*room{good, all} {
-			if racks := byRack(rooms); anyRackHolds(d, racks) {
-				return racks
-			}
-		}
-	}
-	if couldHold(d, good) {
-		return [][]*room{good}
-	}
-	return [][]*room{all}
-}
-
-// allowed returns the rooms that may hold the demand's tasks: those that are good for it, and all.
-func (b *board) allowed(d demand) (good, all []*room) {
-	for _, r := range b.rooms {
-		if !d.allows(r.worker) {
-			continue
-		}
-		all = append(all, r)
-		if !r.avoid && !d.shuns(r.worker.Name) {
-			good = append(good, r)
-		}
-	}
-	return good, all
-}
-
-// couldHold reports whether the demand would fit if nothing else ran.
-func couldHold(d demand, rooms []*room) bool {
-	left := len(d.tasks)
-	for _, r := range rooms {
-		left -= limited(d, r, d.spec().Need.CountIn(r.worker.Profile.Capacity, left))
-	}
-	return left <= 0
-}
-
-func limited(d demand, r *room, n int) int {
-	if limit := d.spec().MaxPerWorker; limit > 0 {
-		return min(n, limit)
-	}
-	return n
-}
-
-func byRack(rooms []*room) [][]*room {
-	racks := map[string][]*room{}
-	var names []string
-	for _, r := range rooms {
-		if racks[r.rack] == nil {
-			names = append(names, r.rack)
-		}
-		racks[r.rack] = append(racks[r.rack], r)
-	}
-	slices.Sort(names)
-	list := make([][]*room, 0, len(names))
-	for _, name := range names {
-		list = append(list, racks[name])
-	}
-	return list
-}
-
-func anyRackHolds(d demand, racks [][]*room) bool {
-	return slices.ContainsFunc(racks, func(rack []*room) bool { return couldHold(d, rack) })
-}
-
 func leftIn(rooms []*room, give offer) int {
 	left := 0
 	for _, r := range rooms {
@@ -146,14 +76,14 @@
 // fill places each task in the room that it leaves fullest, so that empty workers stay whole for what needs them.
 func fill(d demand, rooms []*room, give offer) (placement, bool) {
 	group := d.group()
-	need := d.spec().Need
+	need := d.step.Need
 	taken := map[*room]modeler.Resources{}
 	placed := map[*room]int{}
 	var p placement
 	for range d.tasks {
 		best := pick(d, rooms, func(r *room) (modeler.Resources, bool) {
 			left := give(r).Minus(taken[r])
-			limit := d.spec().MaxPerWorker
+			limit := d.step.MaxPerWorker
 			return left, need.Fits(left) && (limit == 0 || r.steps[group]+placed[r] < limit)
 		})
 		if best == nil {
@@ -175,7 +105,7 @@
 		if !ok {
 			continue
 		}
-		far, rest := distance(d, r), share(left.Minus(d.spec().Need), r.worker.Profile.Capacity)
+		far, rest := distance(d, r), share(left.Minus(d.step.Need), r.worker.Profile.Capacity)
 		if best == nil || cmp.Or(cmp.Compare(far, bestFar), cmp.Compare(rest, bestLeft)) < 0 {
 			best, bestFar, bestLeft = r, far, rest
 		}
@@ -185,7 +115,7 @@
 
 // distance is zero for a worker in the rack of the step's data.
 func distance(d demand, r *room) int {
-	if want := d.spec().DataRack; want != "" && want != r.rack {
+	if want := d.step.DataRack; want != "" && want != r.rack {
 		return 1
 	}
 	return 0
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -42,7 +42,7 @@
 }
 
 // planInstance starts what it can of a step of one occurrence, or makes room for it.
-func (b *board) planInstance(plan *tracker.Assign, c candidate, instance int) {
+func (b *board) planInstance(plan *tracker.Assign, c *candidate, instance int) {
 	if b.in.Now < c.job.DueAt(c.job.Occurrence(instance)) || !c.job.Ready(instance) {
 		return
 	}
@@ -51,17 +51,21 @@
 		return
 	}
 	d := newDemand(c, instance, waiting)
-	if !d.spec().Gang {
+	if !d.step.Gang {
 		b.planSingles(plan, d)
 		return
 	}
-	if len(waiting) == d.spec().Count {
+	if len(waiting) == d.step.Count {
 		b.planGang(plan, d)
 	}
 }
 
 func waitingTasks(j tracker.Job, instance int) []tracker.TaskKey {
-	var keys []tracker.TaskKey
+	n := j.Waiting(instance)
+	if n == 0 {
+		return nil
+	}
+	keys := make([]tracker.TaskKey, 0, n)
 	for index, t := range j.Tasks[instance] {
 		if t.Phase == tracker.TaskWaiting {
 			keys = append(keys, j.Key(instance, index))
@@ -132,11 +136,8 @@
 
 // stopStalled takes back runs that make no progress, so that they run elsewhere.
 func (b *board) stopStalled(plan *tracker.Assign) {
-	for _, key := range b.sortedRuns() {
-		p := b.in.Progress[key]
-		if p.Stalled || p.Slow {
-			b.stop(plan, key)
-		}
+	for _, key := range b.lagging() {
+		b.stop(plan, key)
 	}
 }
 
@@ -154,10 +155,13 @@
 	}
 }
 
-func (b *board) sortedRuns() []tracker.RunKey {
+// lagging returns the runs that make no progress or too little, in their order.
+func (b *board) lagging() []tracker.RunKey {
 	var keys []tracker.RunKey
-	for key := range b.in.Progress {
-		keys = append(keys, key)
+	for key, p := range b.in.Progress {
+		if p.Stalled || p.Slow {
+			keys = append(keys, key)
+		}
 	}
 	slices.SortFunc(keys, func(x, y tracker.RunKey) int {
 		if c := x.Task.Compare(y.Task); c != 0 {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -48,7 +48,7 @@
 	if d.rank == rankGuaranteed {
 		return true
 	}
-	return d.rank == rankUrgent && (d.spec().Gang || d.assigned()+len(d.tasks) <= d.atOnce())
+	return d.rank == rankUrgent && (d.step.Gang || d.assigned()+len(d.tasks) <= d.atOnce())
 }
 
 // cheapest finds the place for which least work is lost, with the runs to stop for it; nil if there is none.
@@ -113,19 +113,19 @@
 	}
 	s.cost += bestCost
 	s.counts[best]++
-	s.reach[best] = s.room(best).Minus(s.demand.spec().Need)
-	s.placed = append(s.placed, spot{best, s.demand.spec().Need, s.demand.group()})
+	s.reach[best] = s.room(best).Minus(s.demand.step.Need)
+	s.placed = append(s.placed, spot{best, s.demand.step.Need, s.demand.group()})
 	return true
 }
 
 func (s *search) underLimit(r *room) bool {
-	limit := s.demand.spec().MaxPerWorker
+	limit := s.demand.step.MaxPerWorker
 	return limit == 0 || r.steps[s.demand.group()]+s.counts[r] < limit
 }
 
 // victimsOn returns the runs of a lower rank to stop so that one task fits, cheapest first.
 func (s *search) victimsOn(r *room) (victims []*placedRun, cost int, ok bool) {
-	need := s.demand.spec().Need
+	need := s.demand.step.Need
 	reach := s.room(r)
 	if need.Fits(reach) {
 		return nil, 0, true
@@ -143,7 +143,7 @@
 
 // spare gives back victims that are not needed after all, dearest first.
 func (s *search) spare(victims []*placedRun, reach modeler.Resources) []*placedRun {
-	need := s.demand.spec().Need
+	need := s.demand.step.Need
 	for i := len(victims) - 1; i >= 0; i-- {
 		without := reach.Minus(victims[i].run.Need)
 		if need.Fits(without) {
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -36,14 +36,16 @@
 	start timekeeper.Millis // when the job, or the first occurrence that is not done, might begin, since the Unix epoch
 	due   timekeeper.Millis // when the objective passes, since the Unix epoch
 	room  modeler.Resources // what all workers of the queue's service have together
+	chain timekeeper.Millis // the job's longest chain of work
+	turn  timekeeper.Millis // where it stands among those of its rank, lower ones first
 }
 
 // latestStart returns until when the job can begin and still be expected to meet its objective.
-func (c candidate) latestStart() timekeeper.Millis { return c.due - c.job.Chain(c.room) }
+func (c *candidate) latestStart() timekeeper.Millis { return c.due - c.chain }
 
-// turn returns where the job stands among those of its rank, lower ones first: when its objective passes, for urgent jobs with a delay
-// by their size.
-func (c candidate) turn() timekeeper.Millis {
+// turnOf returns where the job stands among those of its rank: when its objective passes, for urgent jobs with a delay by
+// their size.
+func (c *candidate) turnOf() timekeeper.Millis {
 	if c.queue.Priority > 0 {
 		return c.due
 	}
@@ -52,11 +54,12 @@
 
 // rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by
 // turn.
-func rank(in Input) []candidate {
-	owed := urgentAccelerators(in.State)
+func rank(in Input) []*candidate {
+	open := in.State.Open()
+	owed := urgentAccelerators(in.State.Configuration, open)
 	rooms := map[string]modeler.Resources{}
-	var ranked []candidate
-	for _, j := range in.State.Open() {
+	ranked := make([]*candidate, 0, len(open))
+	for _, j := range open {
 		q, ok := in.State.Configuration.Queue(j.Queue)
 		if !ok {
 			continue
@@ -65,14 +68,16 @@
 			rooms[q.Service] = in.State.Room(q.Service)
 		}
 		j.Job = j.WithEstimates(in.State.Record(j.Queue).Estimate)
-		c := candidate{job: j, queue: q, room: rooms[q.Service], start: start(j)}
-		c.due = c.start + q.Objective(j.Chain(c.room))
+		c := &candidate{job: j, queue: q, room: rooms[q.Service], start: start(j)}
+		c.chain = j.Chain(c.room)
+		c.due = c.start + q.Objective(c.chain)
+		c.turn = c.turnOf()
 		w, _ := in.State.Configuration.Workspace(j.Workspace)
 		c.rank = c.rankAt(in.Now, owed[j.Workspace] <= w.Accelerators)
 		ranked = append(ranked, c)
 	}
-	slices.SortStableFunc(ranked, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.turn(), b.turn()))
+	slices.SortStableFunc(ranked, func(a, b *candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.turn, b.turn))
 	})
 	return ranked
 }
@@ -87,7 +92,7 @@
 	return j.Submitted
 }
 
-func (c candidate) rankAt(now timekeeper.Millis, guaranteed bool) int {
+func (c *candidate) rankAt(now timekeeper.Millis, guaranteed bool) int {
 	urgent := c.queue.Priority == 0
 	objective := c.due - c.start
 	missed := now > c.latestStart() && c.job.Phase == tracker.JobQueued
@@ -107,10 +112,10 @@
 }
 
 // urgentAccelerators returns what each workspace's unfinished urgent jobs need in all.
-func urgentAccelerators(s tracker.State) map[string]int {
+func urgentAccelerators(c modeler.Configuration, open []tracker.Job) map[string]int {
 	owed := map[string]int{}
-	for _, j := range s.Open() {
-		if q, ok := s.Configuration.Queue(j.Queue); ok && q.Priority == 0 {
+	for _, j := range open {
+		if q, ok := c.Queue(j.Queue); ok && q.Priority == 0 {
 			owed[j.Workspace] += j.Accelerators()
 		}
 	}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -44,7 +44,7 @@
 	var best placement
 	bestAt := timekeeper.Millis(0)
 	for _, group := range b.candidateSets(d) {
-		p, at := b.soonestIn(d, group)
+		p, at := soonestIn(d, group)
 		if p != nil && (best == nil || at < bestAt) {
 			best, bestAt = p, at
 		}
@@ -53,8 +53,8 @@
 }
 
 // soonestIn places each task where it fits first, and returns when the last one does.
-func (b *board) soonestIn(d demand, rooms []*room) (placement, timekeeper.Millis) {
-	need := d.spec().Need
+func soonestIn(d demand, rooms []*room) (placement, timekeeper.Millis) {
+	need := d.step.Need
 	placed := map[*room]int{}
 	var p placement
 	latest := timekeeper.Millis(0)
@@ -62,10 +62,10 @@
 		var best *room
 		bestAt := timekeeper.Millis(0)
 		for _, r := range rooms {
-			if limit := d.spec().MaxPerWorker; limit > 0 && placed[r] >= limit {
+			if limit := d.step.MaxPerWorker; limit > 0 && placed[r] >= limit {
 				continue
 			}
-			at, ok := b.fitsAt(r, need.Times(placed[r]+1))
+			at, ok := r.fitsAt(need.Times(placed[r] + 1))
 			if ok && (best == nil || at < bestAt) {
 				best, bestAt = r, at
 			}
@@ -80,24 +80,22 @@
 	return p, latest
 }
 
+// ending is the expected end of a run, with what that frees.
+type ending struct {
+	at   timekeeper.Millis // from now on
+	need modeler.Resources
+}
+
 // fitsAt estimates how long it takes until an amount fits into a room, if nothing else begins there.
-func (b *board) fitsAt(r *room, need modeler.Resources) (timekeeper.Millis, bool) {
+func (r *room) fitsAt(need modeler.Resources) (timekeeper.Millis, bool) {
 	left := r.soon
 	if need.Fits(left) {
 		return 0, true
 	}
-	type ending struct {
-		at   timekeeper.Millis
-		need modeler.Resources
+	if !need.Fits(r.worker.Profile.Capacity) {
+		return 0, false
 	}
-	var endings []ending
-	for _, run := range r.runs {
-		if !run.fixed {
-			endings = append(endings, ending{b.remaining(run.run.Key), run.run.Need})
-		}
-	}
-	slices.SortFunc(endings, func(x, y ending) int { return cmp.Compare(x.at, y.at) })
-	for _, e := range endings {
+	for _, e := range r.ends() {
 		left = left.Plus(e.need)
 		if need.Fits(left) {
 			return e.at, true
@@ -105,3 +103,18 @@
 	}
 	return 0, false
 }
+
+// ends returns the expected ends of the room's runs, the first one first.
+func (r *room) ends() []ending {
+	if r.endings != nil {
+		return r.endings
+	}
+	r.endings = make([]ending, 0, len(r.runs))
+	for _, run := range r.runs {
+		if !run.fixed {
+			r.endings = append(r.endings, ending{run.left, run.run.Need})
+		}
+	}
+	slices.SortFunc(r.endings, func(x, y ending) int { return cmp.Compare(x.at, y.at) })
+	return r.endings
+}
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -157,6 +157,17 @@
 	return !slices.ContainsFunc(j.Tasks[instance], func(t Task) bool { return t.Phase != TaskDone })
 }
 
+// Waiting returns how many tasks of an instance wait for a run.
+func (j Job) Waiting(instance int) int {
+	n := 0
+	for i := range j.Tasks[instance] {
+		if j.Tasks[instance][i].Phase == TaskWaiting {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether the steps that an instance waits for are done.
 func (j Job) Ready(instance int) bool {
 	first := j.Occurrence(instance) * len(j.Steps)
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -15,7 +15,7 @@
 	Index         uint64 // of the last command applied
 	Configuration modeler.Configuration
 	jobs          *immutable.SortedMap[modeler.JobID, Job]
-	open          *immutable.SortedMap[modeler.JobID, struct{}] // jobs that have not ended
+	open          *immutable.SortedMap[modeler.JobID, Job] // those that have not ended
 	workers       *immutable.SortedMap[string, Worker]
 	records       *immutable.SortedMap[string, estimator.Record] // by queue
 }
@@ -24,7 +24,7 @@
 func New() State {
 	return State{
 		jobs:    immutable.NewSortedMap[modeler.JobID, Job](nil),
-		open:    immutable.NewSortedMap[modeler.JobID, struct{}](nil),
+		open:    immutable.NewSortedMap[modeler.JobID, Job](nil),
 		workers: immutable.NewSortedMap[string, Worker](nil),
 		records: immutable.NewSortedMap[string, estimator.Record](nil),
 	}
@@ -45,8 +45,7 @@
 func (s State) Open() []Job {
 	jobs := make([]Job, 0, s.open.Len())
 	for it := s.open.Iterator(); !it.Done(); {
-		id, _, _ := it.Next()
-		j, _ := s.jobs.Get(id)
+		_, j, _ := it.Next()
 		jobs = append(jobs, j)
 	}
 	return jobs
@@ -108,7 +107,7 @@
 		s.open = s.open.Delete(j.ID)
 		return
 	}
-	s.open = s.open.Set(j.ID, struct{}{})
+	s.open = s.open.Set(j.ID, j)
 }
 
 func (s *State) putWorker(w Worker) {
