Reclaim guaranteed room from batch work first; listen behind a proxy

Ruled out: jobs beyond their guarantee (they stop nobody urgent). Change: the loss of urgent work counts four times. Test first: TestGuaranteeTakesBatchWorkBeforeUrgentWork stopped the urgent run before.

--- a/cmd/lagoonmilld/main.go
+++ b/cmd/lagoonmilld/main.go
@@ -12,8 +12,8 @@
 	os.Exit(commander.Daemon(os.Args, commander.Adapter{
 		Name:  "platform",
 		Usage: "runs a role on the users' platform, which tells it its settings: entry, control or agent",
-		Run: func(role string, metricsPort int) (int, error) {
-			return platform.Run(platform.Options{Role: role, MetricsPort: metricsPort})
+		Run: func(role string, o commander.AdapterOptions) (int, error) {
+			return platform.Run(platform.Options{Role: role, MetricsPort: o.MetricsPort, InternalListen: o.InternalListen})
 		},
 	}))
 }
--- a/internal/commander/adapter_test.go
+++ b/internal/commander/adapter_test.go
@@ -9,8 +9,8 @@
 func TestAdapterGetsItsSettings(t *testing.T) {
 	var role string
 	var port int
-	adapter := Adapter{Name: "platform", Run: func(r string, p int) (int, error) {
-		role, port = r, p
+	adapter := Adapter{Name: "platform", Run: func(r string, o AdapterOptions) (int, error) {
+		role, port = r, o.MetricsPort
 		if r != "agent" {
 			return 0, errors.New("no such role")
 		}
--- a/internal/commander/pages.go
+++ b/internal/commander/pages.go
@@ -35,6 +35,7 @@
 	}
 	b.WriteString("\n# Settings of lagoonmilld platform ROLE\n\nThe role is `entry`, `control` or `agent`; what it serves and whom it knows stands in the platform's settings file\n(OPERATIONS.md).\n")
 	fmt.Fprintf(&b, "\n## --%s\n\n%s\n\n- environment: `%s`\n- accepts: a port from 1 to 65535\n- default: `%d`\n", metricsPortName, metricsPortHelp, metricsPortEnv, defaultMetricsPort)
+	fmt.Fprintf(&b, "\n## --%s\n\n%s\n\n- environment: `%s`\n- accepts: IP:PORT\n- default: none\n", internalListenName, internalListenHelp, internalListenEnv)
 	return b.String()
 }
 
--- a/internal/launcher/introducer.go
+++ b/internal/launcher/introducer.go
@@ -14,21 +14,21 @@
 
 // Introducer is the role of a control process without a disk: it tells who the replicas are.
 type Introducer struct {
-	address    string
+	listen     string
 	locator    *locator.Locator
 	group      *Group
 	introducer *introducer.Introducer
 	grpc       *grpc.Server
 }
 
-// NewIntroducer returns the role at the address where a replica would serve.
-func NewIntroducer(address string, l *locator.Locator, group *Group, log logger.Logger) *Introducer {
-	return &Introducer{address: address, locator: l, group: group, introducer: introducer.New(address, l, log)}
+// NewIntroducer returns the role that listens where a replica would; others are told the given address.
+func NewIntroducer(listen, address string, l *locator.Locator, group *Group, log logger.Logger) *Introducer {
+	return &Introducer{listen: listen, locator: l, group: group, introducer: introducer.New(address, l, log)}
 }
 
 // Start listens and tells other seeds what this process is told.
 func (i *Introducer) Start(context.Context) error {
-	listener, err := net.Listen("tcp", i.address)
+	listener, err := net.Listen("tcp", i.listen)
 	if err != nil {
 		return fmt.Errorf("listen for introductions: %w", err)
 	}
--- a/internal/launcher/replica.go
+++ b/internal/launcher/replica.go
@@ -24,6 +24,7 @@
 // ReplicaSettings are what a control replica for jobs of steps and tasks is started with.
 type ReplicaSettings struct {
 	Coordinator coordinator.Settings
+	Listen      string // may differ from the address that others are told
 	DataDir     string
 	Seeds       []string // addresses of the first voters
 	First       bool     // the whole system starts for the first time
@@ -67,7 +68,7 @@
 		return fmt.Errorf("restore replica: %w", err)
 	}
 	r.coordinator = coordinator.New(r.settings.Coordinator, r.node, machine, r.log, r.meter)
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", r.settings.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for control: %w", err)
 	}
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -108,7 +108,7 @@
 		return
 	}
 	placed := &placedRun{
-		run: run, room: r, rank: c.rank, loss: loss(run, step.Checkpointing, progress), left: left, group: group,
+		run: run, room: r, rank: c.rank, loss: loss(run, step.Checkpointing, progress) * c.dearness(), left: left, group: group,
 		gang: step.Gang, fixed: step.LongRunning,
 	}
 	if placed.gang {
--- a/internal/planner/day_test.go
+++ b/internal/planner/day_test.go
@@ -98,6 +98,23 @@
 	return s
 }
 
+// large is taukvads with hundreds of machines, wider steps and more jobs.
+func (s site) large() site {
+	s.name += "-large"
+	s.workers, s.rack, s.lostPrice = 160, 12, 0.0004
+	s.kinds = slices.Clone(s.kinds)
+	for i, wider := range []struct {
+		perSecond, width, fails float64
+		work                    timekeeper.Millis
+		most, memory            int
+	}{{1.27, 13, 0.05, 6800, 76, 53000}, {3.26, 5.3, 0.02, 2500, 32, 20000}, {1, 38, 0.005, 7600, 230, 8200}} {
+		k := &s.kinds[i]
+		k.perSecond, k.width, k.fails, k.work, k.mostWidth, k.memory = wider.perSecond, wider.width, wider.fails, wider.work, wider.most, wider.memory
+	}
+	s.kinds[0].uneven, s.kinds[0].wrong = 0.3, 0.2
+	return s
+}
+
 const (
 	traffic timekeeper.Millis = 45_000  // of a day
 	played  timekeeper.Millis = 100_000 // until all that is still worth something has ended
@@ -416,16 +433,19 @@
 
 var (
 	daysPlayed  = flag.Int("days", 3, "days that TestHeavyDaysAgainstBaselines plays for each figure")
-	grownPlayed = flag.Bool("grown", false, "play the grown deployment in place of the others")
+	sitesPlayed = flag.String("sites", "dvorak,taukvads", "the deployments that it plays; those with many workers take a minute a day")
 	loadsPlayed = flag.String("loads", "1.8", "their loads, against an ordinary day, with commas between")
 )
 
-// sites returns the deployments to play; the grown one takes a minute a day.
+// sites returns the deployments to play.
 func sites() []site {
-	if *grownPlayed {
-		return []site{dvorak.grown()}
+	var list []site
+	for _, s := range []site{dvorak, taukvads, dvorak.grown(), taukvads.large()} {
+		if slices.Contains(strings.Split(*sitesPlayed, ","), s.name) {
+			list = append(list, s)
+		}
 	}
-	return []site{dvorak, taukvads}
+	return list
 }
 
 func loads() []float64 {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// TestGuaranteeTakesBatchWorkBeforeUrgentWork has one worker run batch work and another urgent work of another
+// workspace that has only begun, so that least would be lost with it; the reclaimed room is that of the batch work.
+func TestGuaranteeTakesBatchWorkBeforeUrgentWork(t *testing.T) {
+	p := newPlay(t, Plan, 2)
+	p.submit("batch", "checks", "other", 9000, tasks(1, 8, 8000))
+	p.run(1000, nil)
+	p.submit("beside", "urgent", "other", 4000, tasks(1, 8, 4000))
+	p.run(1500, nil)
+	p.submit("rebuild", "urgent", "sure", 2500, tasks(1, 8, 2500))
+	p.run(p.now+2*stopTime+4*tick, nil)
+	if _, begun := p.first["rebuild"]; !begun {
+		t.Error("the guaranteed job has not begun")
+	}
+	j, _ := p.state.Job("beside")
+	if task := j.Tasks[0][0]; task.Phase != tracker.TaskAssigned || task.Attempt != 1 {
+		t.Errorf("the urgent run beside batch work was stopped: %+v", task)
+	}
+}
+
 // TestWideUrgentStepLeavesOthersOnTime has one urgent job of 120 accelerators, which may run in waves, and small
 // urgent jobs behind it. It fails where the wide one counts as due first and stops everything.
 func TestWideUrgentStepLeavesOthersOnTime(t *testing.T) {
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -52,6 +52,17 @@
 	return c.due + sizeDelay*timekeeper.Millis(c.job.Work()/max(c.room.Weight(), 1))
 }
 
+// urgentDearness is how many times as much as that of other work the loss of urgent work counts: urgent work that is
+// stopped is late.
+const urgentDearness = 4
+
+func (c *candidate) dearness() int {
+	if c.queue.Priority == 0 {
+		return urgentDearness
+	}
+	return 1
+}
+
 // rank returns the unfinished jobs whose queue is known, in the order in which they are served: by rank, then by
 // turn.
 func rank(in Input) []*candidate {
