--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -48,6 +48,7 @@
 	ProcessStopped  = declare(1003, Info, "process stopped", "The last line of a planned stop.")
 	ProcessFailed   = declare(1004, Failure, "process failed", "A part of the process ended with an error; the process exits with code 1.")
 	SettingsReread  = declare(1005, Info, "token files read", "Gives the number of operator and workspace tokens.")
+	SettingsChanged = declare(1006, Info, "settings read again", "The platform's settings file changed; gives the seeds in it.")
 )
 
 // The events of control replicas.
