--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 RED := $(shell scripts/known-red.sh)
 SKIP := $(if $(RED),-skip '$(RED)')
 
-.PHONY: build demo test check docs prove fuzz bench
+SEEDS ?= 10
+FIRST ?= $(shell date +%s)
+
+.PHONY: build demo test check docs prove soak fuzz bench
 
 build: ## builds the programs into bin/
 	$(GO) build -o bin/ ./cmd/...
@@ -29,6 +32,9 @@
 prove: build ## shows the promises on separate processes under failure; takes several minutes
 	$(GO) test -tags proof -timeout 20m -v ./internal/prover
 
+soak: ## plays fresh seeds of the fault soak, SEEDS of them from FIRST on
+	$(GO) test ./platform -run 'TestSoak$$' -v -timeout 60m -soak-seeds $(SEEDS) -soak-first $(FIRST)
+
 fuzz: ## fuzzes the readers of journals and documents, a minute each
 	$(GO) test ./internal/journaler -run '^$$' -fuzz FuzzReadAll -fuzztime 1m
 	$(GO) test ./internal/parser -run '^$$' -fuzz FuzzParse -fuzztime 1m
