Know a worker that fails all it starts, and keep retries clear of it

Change: a good end clears a worker only if its run began after the last bad one ended; a run that fails within 250 ms has its worker avoided at once; a task that has failed before keeps clear of workers of which one run went wrong lately, while others could hold it. Tests first: TestEndsOfEarlierRunsClearNobody, TestRunsThatFailAtOnceTellOfTheWorker and TestRetriedGangKeepsClearOfSuspectWorkers (placed on the suspect worker before).

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -132,14 +132,14 @@
 	c.meter.Count("runs_ended", "", worker, end.Kind.String())
 	switch end.Kind {
 	case tracker.EndDone:
-		c.observer.judge(worker, true, c.clock.Now())
+		c.observer.judge(worker, result{good: true, took: end.Took}, c.clock.Now())
 	case tracker.EndFailed, tracker.EndUnbegun:
-		c.judgeBad(worker, end.Kind.String()+" run")
+		c.judgeBad(worker, result{took: end.Took}, end.Kind.String()+" run")
 	}
 }
 
-func (c *Coordinator) judgeBad(worker, reason string) {
-	if c.observer.judge(worker, false, c.clock.Now()) {
+func (c *Coordinator) judgeBad(worker string, r result, reason string) {
+	if c.observer.judge(worker, r, c.clock.Now()) {
 		c.log.Log(logger.WorkerAvoided, logger.F("worker", worker), logger.F("reason", reason), logger.F("for", avoidTime))
 	}
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -124,29 +124,66 @@
 func TestBadWorkersAreAvoidedForATime(t *testing.T) {
 	c := newCluster(t, 5)
 	o := newObserver()
-	if o.judge("w0", false, 0) {
+	if o.judge("w0", result{}, 0) {
 		t.Error("one failed run is enough to avoid a worker")
 	}
-	if !o.judge("w0", false, 0) {
+	if !o.judge("w0", result{}, 0) {
 		t.Error("a second failed run changes nothing")
 	}
 	for _, w := range []string{"w1", "w2", "w3"} {
-		o.judge(w, false, 0)
-		o.judge(w, false, 0)
+		o.judge(w, result{}, 0)
+		o.judge(w, result{}, 0)
 	}
-	if got := len(o.avoided(c.state, 1)); got != 2 {
+	if got := len(o.input(c.state, 1).Avoid); got != 2 {
 		t.Errorf("%d of 5 workers are avoided, want 2", got)
 	}
-	if got := len(o.avoided(c.state, avoidTime)); got != 0 {
+	if got := len(o.input(c.state, avoidTime).Avoid); got != 0 {
 		t.Errorf("%d workers are avoided for good", got)
 	}
-	o.judge("w4", false, 0)
-	o.judge("w4", true, 0)
-	if o.judge("w4", false, 0) {
+	o.judge("w4", result{}, 0)
+	o.judge("w4", result{good: true, took: 1}, 2)
+	if o.judge("w4", result{}, 0) {
 		t.Error("a good run between two bad ones does not count")
 	}
 }
 
+// TestEndsOfEarlierRunsClearNobody has a worker that fails all that it starts end what it had started before.
+func TestEndsOfEarlierRunsClearNobody(t *testing.T) {
+	c := newCluster(t, 5)
+	o := newObserver()
+	o.judge("w0", result{took: 2000}, 10_000)
+	if !o.judge("w0", result{took: 500}, 10_500) {
+		t.Fatal("a second failed run changes nothing")
+	}
+	o.judge("w0", result{good: true, took: 3000}, 11_000)
+	if !o.input(c.state, 11_000).Avoid["w0"] {
+		t.Error("the end of a run that had begun before clears the worker")
+	}
+	o.judge("w0", result{good: true, took: 400}, 11_500)
+	if in := o.input(c.state, 11_500); in.Avoid["w0"] || in.Suspect["w0"] {
+		t.Error("a whole good run since then does not clear the worker")
+	}
+}
+
+// TestRunsThatFailAtOnceTellOfTheWorker judges a worker by one run that fails as soon as it is started, and holds one
+// whose run failed later for suspect alone.
+func TestRunsThatFailAtOnceTellOfTheWorker(t *testing.T) {
+	c := newCluster(t, 5)
+	o := newObserver()
+	if !o.judge("w0", result{took: 30}, 1000) {
+		t.Error("a run that fails at once says nothing of its worker")
+	}
+	if o.judge("w1", result{took: 900}, 1000) {
+		t.Error("one run that fails later is enough to avoid a worker")
+	}
+	if in := o.input(c.state, 1000); !in.Suspect["w1"] || in.Suspect["w2"] {
+		t.Errorf("suspect are %v, want w1 and the worker to avoid", in.Suspect)
+	}
+	if o.input(c.state, 1000+avoidTime).Suspect["w1"] {
+		t.Error("a worker is suspect for good")
+	}
+}
+
 // TestCheckpointsOfLostRuns gives back what the runner had listed last.
 func TestCheckpointsOfLostRuns(t *testing.T) {
 	c := newCluster(t, 2)
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -97,8 +97,8 @@
 	started := time.Now()
 	now := c.clock.Now()
 	state := c.machine.State()
-	in := planner.Input{State: state, Now: c.wall.Now(), Silent: c.silent(state, now)}
-	in.Progress, in.Avoid, in.Leaving = c.observer.input(state, now)
+	in := c.observer.input(state, now)
+	in.Now, in.Silent = c.wall.Now(), c.silent(state, now)
 	plan := planner.Plan(in)
 	c.meter.Observe("plan_time", "", "", time.Since(started))
 	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
@@ -171,6 +171,6 @@
 func (c *Coordinator) judgeRun(s tracker.State, key tracker.RunKey) {
 	if j, ok := s.Job(key.Task.Job); ok {
 		t, _ := j.Task(key.Task)
-		c.judgeBad(t.Worker, "run without progress")
+		c.judgeBad(t.Worker, result{}, "run without progress")
 	}
 }
--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -14,12 +14,6 @@
 	stallTime timekeeper.Millis = 3000
 	// stallShare adds to stallTime for long tasks, of which one percent takes longer, as a share of the estimate.
 	stallShare = 0.05
-	// avoidTime is how long a worker is left out after it was found bad.
-	avoidTime timekeeper.Millis = 6000
-	// badRuns is the number of bad runs, with no good one between, after which a worker is avoided.
-	badRuns = 2
-	// avoidShare bounds the share of workers that are avoided at once.
-	avoidShare = 0.4
 )
 
 // observed is what the leader has seen of a run.
@@ -33,11 +27,6 @@
 	checkpoint string
 }
 
-type health struct {
-	bad   int
-	until timekeeper.Millis // avoided until then
-}
-
 // observer keeps what is known of running work beyond the log. It is safe for concurrent use; mu guards its maps.
 type observer struct {
 	mu      sync.Mutex
@@ -87,28 +76,6 @@
 	o.leaving[worker] = at
 }
 
-// judge takes how a run ended on a worker, or that it was taken back as bad; it reports whether the worker is avoided
-// from now on.
-func (o *observer) judge(worker string, good bool, now timekeeper.Millis) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	h := o.workers[worker]
-	if h == nil {
-		h = &health{}
-		o.workers[worker] = h
-	}
-	if good {
-		*h = health{}
-		return false
-	}
-	h.bad++
-	if h.bad < badRuns {
-		return false
-	}
-	h.until = now + avoidTime
-	return true
-}
-
 // saved returns the last known checkpoints of a worker's runs.
 func (o *observer) saved(w tracker.Worker) []tracker.Checkpoint {
 	o.mu.Lock()
@@ -133,11 +100,11 @@
 	}
 }
 
-// input returns what the planner needs of the observations, and forgets runs that have ended.
-func (o *observer) input(s tracker.State, now timekeeper.Millis) (progress map[tracker.RunKey]planner.Progress, avoid map[string]bool, leaving map[string]timekeeper.Millis) {
+// input returns what the planner needs, with the observations, and forgets runs that have ended.
+func (o *observer) input(s tracker.State, now timekeeper.Millis) planner.Input {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	progress, leaving = map[tracker.RunKey]planner.Progress{}, map[string]timekeeper.Millis{}
+	progress, leaving := map[tracker.RunKey]planner.Progress{}, map[string]timekeeper.Millis{}
 	kept := make(map[tracker.RunKey]*observed, len(o.runs))
 	var paces []pace
 	for _, w := range s.Workers() {
@@ -161,18 +128,8 @@
 			progress[p.run] = judged
 		}
 	}
-	return progress, o.avoided(s, now), leaving
-}
-
-func (o *observer) avoided(s tracker.State, now timekeeper.Millis) map[string]bool {
-	avoid := map[string]bool{}
-	limit := int(avoidShare * float64(len(s.Workers())))
-	for _, w := range s.Workers() {
-		if h := o.workers[w.Name]; h != nil && now < h.until && len(avoid) < limit {
-			avoid[w.Name] = true
-		}
-	}
-	return avoid
+	avoid, suspect := o.bad(s, now)
+	return planner.Input{State: s, Progress: progress, Avoid: avoid, Suspect: suspect, Leaving: leaving}
 }
 
 func (r *observed) progress(step modeler.Step, now timekeeper.Millis) planner.Progress {
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -84,7 +84,7 @@
 	keys := c.runJob("a", 4, 900)
 	o := newObserver()
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 8000, keys[2]: 10000, keys[3]: 12000}, 6000)
-	progress, _, _ := o.input(c.state, 6000)
+	progress := o.input(c.state, 6000).Progress
 	for _, key := range keys {
 		if progress[key].Slow || progress[key].Stalled {
 			t.Errorf("%v is judged as bad: %+v", key, progress[key])
@@ -98,7 +98,7 @@
 	keys := c.runJob("a", 4, 900)
 	o := newObserver()
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 8000, keys[2]: 10000, keys[3]: 60000}, 6000)
-	progress, _, _ := o.input(c.state, 6000)
+	progress := o.input(c.state, 6000).Progress
 	if !progress[keys[3]].Slow {
 		t.Errorf("the slow run is not seen: %+v", progress[keys[3]])
 	}
@@ -113,7 +113,7 @@
 	keys := c.runJob("a", 2, 5000)
 	o := newObserver()
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 9000, keys[1]: 10_000_000}, 6000)
-	progress, _, _ := o.input(c.state, 6000)
+	progress := o.input(c.state, 6000).Progress
 	if progress[keys[0]].Stalled || !progress[keys[1]].Stalled {
 		t.Errorf("stalled: %v and %v, want false and true", progress[keys[0]].Stalled, progress[keys[1]].Stalled)
 	}
@@ -126,7 +126,7 @@
 	keys := c.runJob("a", 2, 5000)
 	o := newObserver()
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000, keys[1]: 20_000}, 3000)
-	progress, _, _ := o.input(c.state, 9000)
+	progress := o.input(c.state, 9000).Progress
 	for _, key := range keys {
 		if progress[key].Stalled || progress[key].Slow {
 			t.Errorf("%v is judged although nothing was heard of it: %+v", key, progress[key])
@@ -142,7 +142,7 @@
 	for now := timekeeper.Millis(1); now < 9000; now += 500 {
 		o.see(now, []RunReport{{Run: keys[0], Percent: min(int(now/20), 100)}, {Run: keys[1], Percent: int(now / 100)}})
 	}
-	progress, _, _ := o.input(c.state, 9000)
+	progress := o.input(c.state, 9000).Progress
 	if progress[keys[0]].Stalled {
 		t.Errorf("a member that has done its part is judged as standing still: %+v", progress[keys[0]])
 	}
@@ -156,14 +156,14 @@
 	o := newObserver()
 	c.endedRuns(func(timekeeper.Millis) timekeeper.Millis { return 1000 }, 2400, 2500, 2600, 2500)
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{keys[0]: 20_000}, 4000)
-	if progress, _, _ := o.input(c.state, 4000); !progress[keys[0]].Slow {
+	if progress := o.input(c.state, 4000).Progress; !progress[keys[0]].Slow {
 		t.Errorf("a first run at an eighth of the usual pace is not judged as slow: %+v", progress[keys[0]])
 	}
 	c.apply(tracker.Command{Report: &tracker.Report{Worker: "w0", Epoch: 1, Ends: []tracker.End{{Number: 1, Run: keys[0], Kind: tracker.EndStopped}}}})
 	again := tracker.RunKey{Task: keys[0].Task, Attempt: 2}
 	c.apply(tracker.Command{Assign: &tracker.Assign{Starts: []tracker.Start{{Run: again, Worker: "w1", Epoch: 1}}}})
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{again: 20_000}, 9000)
-	if progress, _, _ := o.input(c.state, 9000); progress[again].Slow {
+	if progress := o.input(c.state, 9000).Progress; progress[again].Slow {
 		t.Errorf("a second run at the same pace is moved again: %+v", progress[again])
 	}
 }
@@ -176,7 +176,7 @@
 	c.endedRuns(func(took timekeeper.Millis) timekeeper.Millis { return took * 11 / 10 }, 900, 2400, 5200, 1300, 2500, 700, 8000, 2000)
 	key := c.runJob("long", 1, 22_000)[0]
 	watchRuns(o, c.state, map[tracker.RunKey]timekeeper.Millis{key: 24_000}, 6000)
-	if progress, _, _ := o.input(c.state, 6000); progress[key].Slow {
+	if progress := o.input(c.state, 6000).Progress; progress[key].Slow {
 		t.Errorf("a run that takes what was declared is judged as slow: %+v", progress[key])
 	}
 }
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -15,6 +15,7 @@
 	free    modeler.Resources // neither held by a run nor promised in this plan
 	soon    modeler.Resources // free, and what is being stopped, less what is promised
 	avoid   bool
+	suspect bool             // not to be given a task that has failed before
 	steps   map[groupKey]int // tasks of a group on the worker, those placed in this plan included; of limited steps alone
 	runs    []*placedRun     // that hold room here; those that are being stopped are left out
 	endings []ending         // of the runs, the first to end first; nil until asked for
@@ -35,7 +36,7 @@
 	rooms  []*room                      // by name of their workers
 	byName map[string]*room             // the same
 	groups map[groupKey][]*placedRun    // members of gangs that hold room and are not being stopped
-	sets   map[setKey]*roomSet          // rooms by what a demand asks of their workers
+	sets   map[setKey]roomSet           // rooms by what a demand asks of their workers
 	idle   map[string]int               // by service, accelerators that are free and promised to nobody
 	full   map[fullKey]bool             // demands for which no room was free in this plan
 	stops  map[tracker.RunKey]bool      // ordered in this plan
@@ -61,7 +62,7 @@
 	b := &board{
 		in: in, order: rank(in),
 		rooms: make([]*room, 0, len(workers)), byName: make(map[string]*room, len(workers)),
-		groups: map[groupKey][]*placedRun{}, sets: map[setKey]*roomSet{}, idle: map[string]int{}, full: map[fullKey]bool{},
+		groups: map[groupKey][]*placedRun{}, sets: map[setKey]roomSet{}, idle: map[string]int{}, full: map[fullKey]bool{},
 		stops: map[tracker.RunKey]bool{},
 	}
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.order))
@@ -78,7 +79,7 @@
 
 func (b *board) addRoom(w tracker.Worker) {
 	free := w.Free()
-	r := &room{worker: w, rack: w.Profile.Rack(), free: free, soon: free, avoid: b.in.Avoid[w.Name]}
+	r := &room{worker: w, rack: w.Profile.Rack(), free: free, soon: free, avoid: b.in.Avoid[w.Name], suspect: b.in.Suspect[w.Name]}
 	b.rooms = append(b.rooms, r)
 	b.byName[w.Name] = r
 	b.idle[w.Profile.Service] += max(free.Accelerators, 0)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -23,6 +23,7 @@
 	Now      timekeeper.Millis // since the Unix epoch, as the jobs' times of submission
 	Progress map[tracker.RunKey]Progress
 	Avoid    map[string]bool              // workers that fail, hang or slow what they run
+	Suspect  map[string]bool              // workers that may be such: one run went wrong lately
 	Silent   map[string]bool              // workers whose agents were not heard for a while
 	Leaving  map[string]timekeeper.Millis // what is left at least to workers that drain
 }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -250,6 +250,33 @@
 	}
 }
 
+// TestRetriedGangKeepsClearOfSuspectWorkers places a gang whose first run failed, where the room that fits it best is on
+// a worker of which one run went wrong lately; with no other room it is placed there all the same.
+func TestRetriedGangKeepsClearOfSuspectWorkers(t *testing.T) {
+	p := newPlay(t, Plan, 3)
+	p.submit("gang", "urgent", "other", 4000, tasks(1, 4, 4000))
+	p.submit("beside", "checks", "other", 9000, tasks(1, 4, 8000))
+	p.fails[tracker.RunKey{Task: tracker.TaskKey{Job: "gang"}, Attempt: 1}] = 300
+	p.run(100, nil)
+	first, _ := p.state.Job("gang")
+	for failed := 0; failed == 0; p.now += tick {
+		p.finishRuns()
+		j, _ := p.state.Job("gang")
+		failed = j.Tasks[0][0].Failures
+	}
+	for _, suspects := range []map[string]bool{{workerName(0): true, workerName(1): true}, {workerName(0): true, workerName(1): true, workerName(2): true}} {
+		in := p.input()
+		in.Suspect = suspects
+		plan := Plan(in)
+		if len(plan.Starts) != 1 {
+			t.Fatalf("%d starts beside %d suspect workers, want the failed task's", len(plan.Starts), len(suspects))
+		}
+		if at := plan.Starts[0].Worker; len(suspects) < 3 && suspects[at] || at == first.Tasks[0][0].Worker {
+			t.Errorf("the failed task is placed on %s; suspect are %v, it failed on %s", at, suspects, first.Tasks[0][0].Worker)
+		}
+	}
+}
+
 // TestGangStaysInOneRackBesideAvoidedWorkers avoids one worker of each rack: a gang that needs a whole rack takes one
 // with the worker to avoid, since across racks it would be far slower.
 func TestGangStaysInOneRackBesideAvoidedWorkers(t *testing.T) {
--- a/internal/planner/sets.go
+++ b/internal/planner/sets.go
@@ -8,58 +8,68 @@
 // setKey is what a demand asks of a worker, its room aside.
 type setKey struct{ service, label string }
 
-// roomSet is the rooms that a demand may use. It is shared by all demands that ask the same of a worker.
-type roomSet struct {
-	good, all           []*room // without the workers to avoid, and with them
-	goodRacks, allRacks [][]*room
+// roomSet is the rooms that a demand may use, in choices of which an earlier one is taken where it could hold the demand;
+// the last one is all of them. It is shared by all demands that ask the same of a worker.
+type roomSet []choice
+
+// choice is some rooms, together and by rack.
+type choice struct {
+	rooms []*room
+	racks [][]*room
+}
+
+func newChoice(rooms []*room) choice { return choice{rooms, byRack(rooms)} }
+
+// without returns the choice less the rooms that are bad.
+func (c choice) without(bad func(*room) bool) choice {
+	return newChoice(slices.DeleteFunc(slices.Clone(c.rooms), bad))
 }
 
-// set returns the rooms that may hold the tasks of a demand. A worker on which one of them failed last is not good for it.
-func (b *board) set(d demand) *roomSet {
+// set returns the rooms that may hold the tasks of a demand. Where one of them has failed before, the worker on which it
+// did is no good for it, nor are those that are suspect: a further failure may be the job's last.
+func (b *board) set(d demand) roomSet {
 	key := setKey{d.queue.Service, d.step.Label}
-	shared := b.sets[key]
-	if shared == nil {
+	shared, known := b.sets[key]
+	if !known {
 		shared = b.newSet(key)
 		b.sets[key] = shared
 	}
 	if !d.retried() {
 		return shared
 	}
-	good := slices.DeleteFunc(slices.Clone(shared.good), func(r *room) bool { return d.shuns(r.worker.Name) })
-	return &roomSet{good: good, all: shared.all, goodRacks: byRack(good), allRacks: shared.allRacks}
+	shunned := func(r *room) bool { return d.shuns(r.worker.Name) }
+	unsure := func(r *room) bool { return r.suspect || shunned(r) }
+	return append(roomSet{shared[0].without(unsure), shared[0].without(shunned)}, shared[1:]...)
 }
 
-func (b *board) newSet(key setKey) *roomSet {
-	s := &roomSet{}
+func (b *board) newSet(key setKey) roomSet {
+	var all []*room
 	for _, r := range b.rooms {
-		if r.worker.Profile.Service != key.service || !hasLabel(r.worker, key.label) {
-			continue
-		}
-		s.all = append(s.all, r)
-		if !r.avoid {
-			s.good = append(s.good, r)
+		if r.worker.Profile.Service == key.service && hasLabel(r.worker, key.label) {
+			all = append(all, r)
 		}
 	}
-	s.goodRacks, s.allRacks = byRack(s.good), byRack(s.all)
-	return s
+	every := newChoice(all)
+	return roomSet{every.without(func(r *room) bool { return r.avoid }), every}
 }
 
 // candidateSets returns the sets of rooms of which one must hold the whole demand: the racks, for a gang that wants one, and
-// else all rooms together. Workers to avoid, and the one on which a task failed last, are left out while others could
-// hold it; a gang that no rack could ever hold is spread.
+// else all rooms together; a gang that no rack could ever hold is spread.
 func (b *board) candidateSets(d demand) [][]*room {
-	s := b.set(d)
+	set := b.set(d)
 	if d.step.Gang && d.step.OneRack {
-		for _, racks := range [][][]*room{s.goodRacks, s.allRacks} {
-			if anyRackHolds(d, racks) {
-				return racks
+		for _, c := range set {
+			if anyRackHolds(d, c.racks) {
+				return c.racks
 			}
 		}
 	}
-	if couldHold(d, s.good) {
-		return [][]*room{s.good}
+	for _, c := range set {
+		if couldHold(d, c.rooms) {
+			return [][]*room{c.rooms}
+		}
 	}
-	return [][]*room{s.all}
+	return [][]*room{set[len(set)-1].rooms}
 }
 
 // couldHold reports whether the demand would fit if nothing else ran.
