Refuse no submission of which an earlier attempt may have been taken

Cause: an entry repeats a submission whose first attempt got no answer, and a caller comes again through another entry. The leader looked at key, queue and limits before it looked whether the job was known, and not at all whether it was on its way into the log. So a job that a slow log took was refused by its retry when its key had been revoked meanwhile, and then ran.

Ruled out: a stale configuration at the leader (the refusal was right for the configuration in force), and a second start.

Change: the locator marks a request once an attempt of it may have arrived.

The new tests fail without the change.

--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -34,7 +34,7 @@
 	state := c.machine.State()
 	q, w, outcome := resolveAddress(state.Configuration, r.Address)
 	if outcome != OutcomeOK {
-		return c.refuse(r.Address, CallResponse{Outcome: outcome}), nil
+		return c.refuse(r, lastSegment(r.Address.Path), CallResponse{Outcome: outcome}), nil
 	}
 	id := modeler.JobID(strings.TrimPrefix(r.Address.Path, q.Prefix))
 	if _, known := state.Job(id); known {
@@ -45,23 +45,53 @@
 		Repeat: r.Repeat, StartAt: r.StartAt, Period: r.Period,
 	}
 	if err := j.Check(); err != nil {
-		return c.refuse(r.Address, CallResponse{Outcome: OutcomeInvalid, Reason: err.Error()}), nil
+		return c.refuse(r, id, CallResponse{Outcome: OutcomeInvalid, Reason: err.Error()}), nil
 	}
 	if refusal := admit(state, q, j); refusal != nil {
-		return c.refuse(r.Address, *refusal), nil
+		return c.refuse(r, id, *refusal), nil
 	}
 	return c.accept(ctx, q, j), nil
 }
 
-func (c *Coordinator) refuse(a Address, r CallResponse) *CallResponse {
-	r.Reply = c.reply()
-	c.log.Log(logger.JobRefused, logger.F("path", a.Path), logger.F("outcome", int(r.Outcome)), logger.F("reason", r.Reason),
-		logger.F("configuration", c.machine.State().Configuration.Version), logger.F("retry-after", r.RetryAfter))
-	return &r
+// lastSegment returns the part of a path after its last slash, which names the job if the queue is not known.
+func lastSegment(path string) modeler.JobID {
+	return modeler.JobID(path[strings.LastIndexByte(path, '/')+1:])
+}
+
+// refuse returns the refusal of a submission, unless an earlier attempt may have been taken. Then the job may run, and
+// the reply says that its outcome is undecided.
+func (c *Coordinator) refuse(r *SubmitRequest, id modeler.JobID, refusal CallResponse) *CallResponse {
+	if r.Resent || c.maybeTaken(id) {
+		return c.undecided(r.Address.Path, refusal.Outcome)
+	}
+	refusal.Reply = c.reply()
+	c.log.Log(logger.JobRefused, logger.F("path", r.Address.Path), logger.F("outcome", int(refusal.Outcome)), logger.F("reason", refusal.Reason),
+		logger.F("configuration", c.machine.State().Configuration.Version), logger.F("retry-after", refusal.RetryAfter))
+	return &refusal
+}
+
+// maybeTaken reports whether the state holds the job or a proposal of it may still be committed.
+func (c *Coordinator) maybeTaken(id modeler.JobID) bool {
+	_, known := c.machine.State().Job(id)
+	return known || c.submissions.open(c.node.Status().Term, id)
+}
+
+// undecided answers a call that can neither be accepted nor truthfully be refused.
+func (c *Coordinator) undecided(path string, refusal Outcome) *CallResponse {
+	c.log.Log(logger.RefusalWithheld, logger.F("path", path), logger.F("outcome", int(refusal)),
+		logger.F("configuration", c.machine.State().Configuration.Version))
+	reply := c.notLeader()
+	reply.Status.Uncertain, reply.Status.Undecided = true, true
+	return &CallResponse{Reply: reply}
 }
 
 func (c *Coordinator) accept(ctx context.Context, q modeler.Queue, j modeler.Job) *CallResponse {
+	term := c.node.Status().Term
+	c.submissions.begin(term, j.ID)
 	answer, err := c.propose(ctx, tracker.Command{Submit: &j})
+	if !errors.Is(err, replicator.ErrUncertain) {
+		c.submissions.settle(term, j.ID)
+	}
 	if err != nil {
 		return c.proposalFailure(j.ID, err)
 	}
@@ -90,6 +120,9 @@
 	}
 	state := c.machine.State()
 	q, _, outcome := resolveAddress(state.Configuration, r.Address)
+	if outcome != OutcomeOK && r.Kind == CallCancel && r.Resent {
+		return c.undecided(r.Address.Path, outcome), nil
+	}
 	if outcome != OutcomeOK {
 		return &CallResponse{Reply: c.reply(), Outcome: outcome}, nil
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,6 +38,7 @@
 	confirmer     confirmer
 	observer      *observer
 	leases        *leases
+	submissions   submissions
 	jobsDroppedAt timekeeper.Millis // when ended jobs were last dropped; used by Lead alone
 }
 
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/planner"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
@@ -75,6 +76,8 @@
 func (c *Coordinator) dropEndedJobs(ctx context.Context) {
 	if now := c.clock.Now(); now-c.jobsDroppedAt > endedJobRetention {
 		c.jobsDroppedAt = now
+		state := c.machine.State()
+		c.submissions.settleKnown(func(id modeler.JobID) bool { _, known := state.Job(id); return known })
 		command := tracker.Command{Prune: &tracker.Prune{Before: c.wall.Now() - endedJobRetention}}
 		if _, err := c.propose(ctx, command); err != nil {
 			c.log.Log(logger.ProposalFailed, logger.F("error", err)) // the jobs are dropped next time
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -54,8 +54,12 @@
 	Repeat  int               `cbor:"4,keyasint,omitempty"` // Repeat, StartAt and Period are as in modeler.Job
 	StartAt timekeeper.Millis `cbor:"5,keyasint,omitempty"`
 	Period  timekeeper.Millis `cbor:"6,keyasint,omitempty"`
+	Resent  bool              `cbor:"7,keyasint,omitempty"` // an earlier attempt of this call may have reached a replica
 }
 
+// MarkResent implements locator.Resendable.
+func (r *SubmitRequest) MarkResent() { r.Resent = true }
+
 // CallKind is what a call asks for.
 type CallKind uint8
 
@@ -69,8 +73,12 @@
 type CallRequest struct {
 	Kind    CallKind `cbor:"1,keyasint"`
 	Address Address  `cbor:"2,keyasint"`
+	Resent  bool     `cbor:"3,keyasint,omitempty"` // an earlier attempt of this call may have reached a replica
 }
 
+// MarkResent implements locator.Resendable.
+func (r *CallRequest) MarkResent() { r.Resent = true }
+
 // CallResponse answers SubmitRequest and CallRequest.
 type CallResponse struct {
 	locator.Reply `cbor:"1,keyasint"`
--- a/internal/locator/call.go
+++ b/internal/locator/call.go
@@ -48,8 +48,18 @@
 // Unwrap returns ErrUnavailable and the cause.
 func (e *CallError) Unwrap() []error { return []error{ErrUnavailable, e.Cause} }
 
+// Resendable is a request that tells the leader whether an earlier attempt of the same call may have reached a replica.
+// The leader must not refuse such a call, since the earlier attempt may be carried out.
+type Resendable interface {
+	// MarkResent notes that an earlier attempt may have reached a replica.
+	MarkResent()
+}
+
+// errUndecided is the cause of a call that the leader can neither accept nor refuse.
+var errUndecided = errors.New("an earlier attempt may have been taken, and another one would be refused")
+
 // Call calls a method of the leader and retries until a leader answers. It returns a CallError if ctx ends or a limit
-// is reached before that.
+// is reached before that, or if the leader says that the outcome of an earlier attempt cannot be told.
 func Call[Req any, Resp Response](ctx context.Context, l *Locator, method string, limits Limits, r *Req) (Resp, error) {
 	failed := &CallError{}
 	started := l.clock.Now()
@@ -60,6 +70,13 @@
 		}
 		failed.Cause = errors.Join(err, ctx.Err())
 		failed.Sent = failed.Sent || err != nil && !messenger.Unsent(err) || err == nil && resp.ReplicaStatus().Uncertain
+		if err == nil && resp.ReplicaStatus().Undecided {
+			var zero Resp
+			return zero, &CallError{Sent: true, Cause: errUndecided}
+		}
+		if resent, ok := any(r).(Resendable); ok && failed.Sent {
+			resent.MarkResent()
+		}
 		timedOut := limits.SearchTimeout > 0 && !failed.Sent && l.searchTimedOut(started, timekeeper.FromDuration(limits.SearchTimeout))
 		if timedOut || !waitToRetry(ctx) {
 			var zero Resp
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -23,6 +23,7 @@
 	Uncertain bool     `cbor:"4,keyasint,omitempty"` // the call may still be carried out
 	Term      uint64   `cbor:"5,keyasint,omitempty"` // of the leader; a report of an earlier term is stale
 	Revision  uint64   `cbor:"6,keyasint,omitempty"` // of the membership; it grows with each change
+	Undecided bool     `cbor:"7,keyasint,omitempty"` // the leader would refuse the call, but an earlier attempt of it may have been taken
 }
 
 // Response is a response of a control replica.
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -30,6 +30,12 @@
 // serveReplica serves a replica that handles calls by handle and returns its address. Each status function answers
 // probes.
 func serveReplica(t *testing.T, handle func(context.Context, *request) (*response, error), status ...func() ReplicaStatus) string {
+	t.Helper()
+	return serve(t, handle, status...)
+}
+
+// serve is serveReplica for requests of any type.
+func serve[Req any](t *testing.T, handle func(context.Context, *Req) (*response, error), status ...func() ReplicaStatus) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -231,3 +237,34 @@
 		t.Error("a newer membership was reported but the known one does not count as outdated")
 	}
 }
+
+// resendable is a request that records whether the locator marked it.
+type resendable struct {
+	Resent bool `cbor:"1,keyasint,omitempty"`
+}
+
+func (r *resendable) MarkResent() { r.Resent = true }
+
+// TestRefusalAfterLostAttemptIsUndecided loses the answer to the first attempt of a call. The second attempt must say that
+// there was one, and the call must end at once, as sent, when the leader says that it cannot decide.
+func TestRefusalAfterLostAttemptIsUndecided(t *testing.T) {
+	var attempts atomic.Int32
+	leader := serve(t, func(_ context.Context, r *resendable) (*response, error) {
+		if attempts.Add(1) == 1 {
+			return nil, errors.New("the answer is lost")
+		}
+		if !r.Resent {
+			return &response{Name: "refused"}, nil
+		}
+		return &response{Status: ReplicaStatus{NotLeader: true, Uncertain: true, Undecided: true}}, nil
+	})
+	l := New([]string{leader}, logger.Logger{})
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	got, err := Call[resendable, response](ctx, l, method, Limits{}, &resendable{})
+	var failed *CallError
+	if !errors.As(err, &failed) || !failed.Sent || attempts.Load() != 2 {
+		t.Errorf("got %+v, error %v after %d attempts, want an error that says that the call was sent, after 2", got, err, attempts.Load())
+	}
+}
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -80,6 +80,7 @@
 	WorkerDraining        = declare(2024, Info, "worker draining", "No new run is started on it.")
 	WorkerAvoided         = declare(2025, Warning, "worker avoided", "Several runs in a row failed, did not start, hung or were slow there, or one failed right after its start. Gives the reason and for how long the worker is avoided. Check the worker if this recurs.")
 	CommitUncertain       = declare(2026, Warning, "commit outcome unknown", "The command may or may not be committed. The caller resends it.")
+	RefusalWithheld       = declare(2027, Warning, "refusal withheld", "An earlier attempt of the call may have been taken, so the caller is told that its outcome is not known. Gives the outcome that the call would have had.")
 )
 
 // Events of entries.
