Elect a leader soon after all voters restarted

Hypothesis: after a loss of power the voters hear each other within milliseconds and know of no leader, so that a whole election timeout (500 to 1000 ms) serves nobody: pre-votes do not disturb a leader that others hear from.

Change: until a replica has heard from a leader, stood for election or voted, its election timeout is a fifth. Once votes are on their way it waits for whole ones, since disks may be slow. The bounds of leases are untouched.

--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -98,6 +98,7 @@
 	messages          []Message
 	readResults       []ReadResult
 	electionDeadline  timekeeper.Millis
+	starting          bool // since the start, this replica has neither heard from a leader, nor stood for election, nor voted
 	lastLeaderContact timekeeper.Millis
 	nextHeartbeat     timekeeper.Millis
 	votes             map[ReplicaID]bool
@@ -157,7 +158,7 @@
 		}
 	}
 	c.durableIndex, c.persisting = c.log.last(), c.log.last()
-	c.lastLeaderContact = now - c.timing.ElectionTimeout
+	c.lastLeaderContact, c.starting = now-c.timing.ElectionTimeout, true
 	c.resetElectionTimeout()
 	return c, nil
 }
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -5,8 +5,25 @@
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
+// startElectionDivisor divides the election timeout of a replica that has just started. There is no leader that it
+// heard from and should wait for, and pre-votes do not disturb a leader that the others hear from.
+const startElectionDivisor = 5
+
 func (c *Core) resetElectionTimeout() {
-	c.electionDeadline = c.now + c.timing.ElectionTimeout + timekeeper.Millis(c.rng.Int64N(int64(c.timing.ElectionTimeout)))
+	shortest := c.timing.ElectionTimeout
+	if c.starting {
+		shortest = max(shortest/startElectionDivisor, 1)
+	}
+	c.electionDeadline = c.now + shortest + timekeeper.Millis(c.rng.Int64N(int64(shortest)))
+}
+
+// endStart makes the replica wait for whole election timeouts: a leader is there, or votes for one are on their way,
+// which take long if disks are slow.
+func (c *Core) endStart() {
+	if c.starting {
+		c.starting = false
+		c.resetElectionTimeout()
+	}
 }
 
 func (c *Core) becomeFollower(term uint64, leader ReplicaID) {
@@ -27,6 +44,7 @@
 	term, kind := c.term+1, PreVoteRequest
 	if role == Candidate {
 		c.term, c.vote, kind = term, c.id, VoteRequest
+		c.endStart()
 	}
 	for _, o := range c.log.membership().Members {
 		if o.Voter && o.ID != c.id {
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -50,6 +50,7 @@
 }
 
 func (c *Core) followLeader(leader ReplicaID) {
+	c.endStart()
 	if c.role != Follower || c.leader != leader {
 		c.becomeFollower(c.term, leader)
 	}
@@ -78,7 +79,7 @@
 	}
 	grant := m.Term == c.term && upToDate && (c.vote == 0 || c.vote == m.From)
 	if grant {
-		c.vote = m.From
+		c.vote, c.starting = m.From, false
 		c.resetElectionTimeout()
 	}
 	c.send(Message{Kind: VoteResponse, To: m.From, Reject: !grant})
