Test that a repeated cancellation is not refused

The change that withholds refusals covers cancellations, and had no test of it. This one fails without the line (the second attempt is answered 401).

--- a/internal/coordinator/refusal_test.go
+++ b/internal/coordinator/refusal_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// TestRepeatedCancelIsNotRefused cancels a job with a key that no workspace holds. The call is refused, unless an earlier
+// attempt of it may have been taken.
+func TestRepeatedCancelIsNotRefused(t *testing.T) {
+	c, ctx := startCoordinator(t)
+	held := configuration(1, "/q/", "k")
+	if _, err := c.propose(ctx, tracker.Command{Configure: &held}); err != nil {
+		t.Fatal(err)
+	}
+	for _, resent := range []bool{false, true} {
+		request := &CallRequest{Kind: CallCancel, Address: Address{Host: "h", Path: "/q/job", Key: "revoked"}, Resent: resent}
+		got, err := c.call(ctx, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if refused := got.Outcome == OutcomeUnauthorized; refused == resent || got.ReplicaStatus().Undecided != resent {
+			t.Errorf("resent %v: outcome %d, undecided %v, want a refusal only of the first attempt", resent, got.Outcome, got.ReplicaStatus().Undecided)
+		}
+	}
+}
+
 // TestSubmissionsForgetEarlierTerms checks that a proposal counts as open until it is settled, and in its term alone.
 func TestSubmissionsForgetEarlierTerms(t *testing.T) {
 	var s submissions
