Planner: tell why a job that is ready is not started

Callers saw jobs that were accepted and ready stand for seconds while workers were idle, and no line or figure said why: the log could not tell room that is reserved for other jobs from headroom, avoided workers, silent agents or a queue that the configuration lacks.

Decide returns the plan with a Wait for each unfinished job of which nothing runs although a step is ready (and for long-running tasks without a run). The cause is found where a demand is not placed, before anything is reserved for the demand itself: the free room is counted as it would be without the reservations of this plan, then on avoided and suspect workers, then on workers with silent agents. Reserved room includes the idle accelerators that a batch job lacks only because of reservations. The job that most of the reserved room is held for is named. Plan is Decide without the waits, so that no decision changes.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -43,6 +43,8 @@
 
 	searches        int // searches for resources that are not free yet
 	reservedWorkers int // workers reserved for waiting batch work in this plan
+
+	waits waitNotes
 }
 
 // assignedRun is a run that holds resources, with the cost of stopping it.
@@ -60,11 +62,12 @@
 func newPlanBuilder(in Input) *planBuilder {
 	workers := in.State.Workers()
 	b := &planBuilder{
-		in: in, candidates: rankJobs(in),
+		in:      in,
 		workers: make([]*workerState, 0, len(workers)), workersByName: make(map[string]*workerState, len(workers)),
 		gangs: map[groupKey][]*assignedRun{}, pools: map[poolKey]poolList{}, idleAccelerators: map[string]int{},
 		unplaceable: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
 	}
+	b.candidates, b.waits.unrouted = rankJobs(in)
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.candidates))
 	for _, c := range b.candidates {
 		b.jobs[c.job.ID] = c
@@ -240,7 +243,9 @@
 func (b *planBuilder) reserve(p placement) {
 	for _, t := range p {
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
-		b.setFree(t.worker, minResources(t.worker.free, t.worker.futureFree))
+		free, idle := t.worker.free, b.idleAccelerators[t.worker.info.Profile.Service]
+		b.setFree(t.worker, minResources(free, t.worker.futureFree))
+		b.noteReservation(t, free, idle)
 		t.worker.addTask(t.group)
 	}
 }
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -16,9 +16,13 @@
 // mustLeaveHeadroom reports whether a demand must not start now, even if it fits, since it is batch work that can wait
 // and would use the headroom for urgent work.
 func (b *planBuilder) mustLeaveHeadroom(d demand) bool {
+	return b.mustLeave(d, b.idleAccelerators[d.queue.Service])
+}
+
+// mustLeave is mustLeaveHeadroom for a given number of idle accelerators of the service.
+func (b *planBuilder) mustLeave(d demand, idle int) bool {
 	if d.rank < rankBatch || d.step.LongRunning || b.in.Now > d.earliestStart+maxDeferral || d.latestStart()-b.in.Now < minSlack {
 		return false
 	}
-	idle := b.idleAccelerators[d.queue.Service] - len(d.tasks)*d.step.Need.Accelerators
-	return idle < d.capacity.Accelerators/headroomDivisor
+	return idle-len(d.tasks)*d.step.Need.Accelerators < d.capacity.Accelerators/headroomDivisor
 }
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -31,20 +31,25 @@
 	gang, oneRack  bool
 }
 
+// newFitKey returns the key of a demand, and whether the key decides whether it fits.
+func newFitKey(d demand) (key fitKey, cacheable bool) {
+	step := d.step
+	key = fitKey{d.queue.Service, step.Label, step.Need, len(d.tasks), step.Gang, step.OneRack}
+	return key, step.MaxPerWorker == 0 && !d.hasFailed()
+}
+
 // placeNow places a demand on resources that are free now. It fails at once for a demand like one that did not fit
 // earlier in this plan.
 func (b *planBuilder) placeNow(d demand) (placement, bool) {
-	step := d.step
-	key := fitKey{d.queue.Service, step.Label, step.Need, len(d.tasks), step.Gang, step.OneRack}
 	if b.mustLeaveHeadroom(d) {
 		return nil, false
 	}
-	uncacheable := step.MaxPerWorker > 0 || d.hasFailed()
-	if !uncacheable && b.unplaceable[key] {
+	key, cacheable := newFitKey(d)
+	if cacheable && b.unplaceable[key] {
 		return nil, false
 	}
 	p, ok := b.place(d, currentFree)
-	if !ok && !uncacheable {
+	if !ok && cacheable {
 		b.unplaceable[key] = true
 	}
 	return p, ok
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -30,16 +30,7 @@
 
 // Plan returns the runs to start and the runs to stop now. It does not change in.
 func Plan(in Input) tracker.Assign {
-	b := newPlanBuilder(in)
-	var plan tracker.Assign
-	b.stopStalled(&plan)
-	b.stopDraining(&plan)
-	for _, c := range b.candidates {
-		for instance := range c.job.Tasks {
-			b.planInstance(&plan, c, instance)
-		}
-	}
-	return plan
+	return Decide(in).Assign
 }
 
 // planInstance starts the waiting tasks of a step of one occurrence, or reserves or frees resources for them. A gang is
@@ -82,10 +73,12 @@
 		one := d.withTasks(d.tasks[i : i+1])
 		one.planned = i
 		if one.atParallelismLimit() {
+			b.noteWait(one)
 			return
 		}
 		p, ok := b.placeNow(one)
 		if !ok {
+			b.noteWait(one)
 			if !b.reserveOrPreemptRest(plan, d, i) {
 				b.reserveEarliest(one)
 			}
@@ -113,6 +106,7 @@
 func (b *planBuilder) planGang(plan *tracker.Assign, d demand) {
 	p, ok := b.placeNow(d)
 	if !ok {
+		b.noteWait(d)
 		if !b.reserveOrPreempt(plan, d) {
 			b.reserveEarliest(d)
 		}
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -61,15 +61,17 @@
 	return 1
 }
 
-// rankJobs returns the unfinished jobs whose queue is known, ordered by rank and then by order time.
-func rankJobs(in Input) []*candidate {
+// rankJobs returns the unfinished jobs whose queue is known, ordered by rank and then by order time, and the other
+// unfinished jobs.
+func rankJobs(in Input) (ranked []*candidate, unrouted []tracker.Job) {
 	unfinished := in.State.UnfinishedJobs()
 	urgentNeed := urgentAccelerators(in.State.Configuration, unfinished)
 	capacities := map[string]modeler.Resources{}
-	ranked := make([]*candidate, 0, len(unfinished))
+	ranked = make([]*candidate, 0, len(unfinished))
 	for _, j := range unfinished {
 		q, ok := in.State.Configuration.Queue(j.Queue)
 		if !ok {
+			unrouted = append(unrouted, j)
 			continue
 		}
 		if _, known := capacities[q.Service]; !known {
@@ -87,7 +89,7 @@
 	slices.SortStableFunc(ranked, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.orderTime, b.orderTime))
 	})
-	return ranked
+	return ranked, unrouted
 }
 
 // earliestStart returns when the first occurrence that is not done is due.
