Leader: log and count the jobs that stand still, with their cause

Operators saw a job accepted (2016) and later assigned (2019), or not, and nothing in between: the leader did not tell that a job waits, nor why.

The leader now keeps since when each job waits with nothing running, in memory and for its own term, and writes 2028 (job waits) once a job has waited for two seconds, again every five seconds, and when the cause changes, at most once a second for a job. It names the cause, the job that holds the reserved room or the worker that has not ended a run yet, what the tasks need, and the free share. 2019 tells for the first run of a job how long it has waited. Metrics: the number of jobs that have waited for two seconds, by cause, and a histogram of the waits, by workspace and queue.

The volume is bounded: reports are 250 ms apart and have at most 20 lines, those of jobs with room first. Plans are made after every change of the state, so that a bound for each plan alone would not hold the volume.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 	leases        *leases
 	submissions   submissions
 	jobsDroppedAt timekeeper.Millis // when ended jobs were last dropped; used by Lead alone
+	waits         waitRecorder      // used by Lead alone
 }
 
 // New returns a coordinator for node, which must apply its log to machine.
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -44,17 +44,19 @@
 }
 
 // updateTerm returns the term that this replica leads, or zero. It logs a change from leading, the previous result, and
-// resets the leases in a new term.
+// resets the leases and the waits of jobs in a new term.
 func (c *Coordinator) updateTerm(leading uint64) uint64 {
 	status := c.node.Status()
 	if status.Role != replicator.Leader {
 		if leading != 0 {
+			c.dropWaits()
 			c.log.Log(logger.LeadershipEnded, logger.F("term", leading), logger.F("now", status.Term))
 		}
 		return 0
 	}
 	if status.Term != leading {
 		c.leases.reset(c.clock.Now())
+		c.dropWaits()
 		c.log.Log(logger.LeadershipAcquired, logger.F("term", status.Term), logger.F("commit", status.CommitIndex), logger.F("members", len(status.Members.Members)))
 	}
 	return status.Term
@@ -103,8 +105,11 @@
 	state := c.machine.State()
 	in := c.observer.plannerInput(state, now)
 	in.Now, in.Unresponsive = c.wall.Now(), c.unresponsiveWorkers(state, now)
-	plan := planner.Plan(in)
+	decision := planner.Decide(in)
+	plan := decision.Assign
 	c.meter.Observe("plan_time", "", "", time.Since(started))
+	c.waits.record(now, decision.Waits, plan.Starts)
+	c.publishWaits(state, now)
 	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
 		return
 	}
@@ -134,9 +139,12 @@
 		if !wasAssigned(after, s.Run) {
 			continue
 		}
-		c.log.Log(logger.RunAssigned, logger.F("job", string(s.Run.Task.Job)), logger.F("run", s.Run.String()),
+		fields := []logger.Field{
+			logger.F("job", string(s.Run.Task.Job)), logger.F("run", s.Run.String()),
 			logger.F("worker", s.Worker), logger.F("epoch", s.Epoch), logger.F("resumes", s.Checkpoint != ""),
-			logger.F("state", in.State.Index), logger.F("index", index))
+			logger.F("state", in.State.Index), logger.F("index", index),
+		}
+		c.log.Log(logger.RunAssigned, append(fields, c.endWait(after, s.Run.Task.Job)...)...)
 	}
 	for _, key := range plan.Stops {
 		p := in.Progress[key]
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -72,7 +72,7 @@
 	JobAccepted           = declare(2016, Info, "job accepted", "The job is committed. Gives its queue, workspace, number of steps, resource demand and priority.")
 	JobRefused            = declare(2017, Info, "job refused", "Nothing was stored and nothing will run. Gives the reason.")
 	JobCancelled          = declare(2018, Info, "job cancelled", "Its runs are being stopped.")
-	RunAssigned           = declare(2019, Info, "run assigned", "Gives the worker, the log index of the state that the decision was based on, and the log index of the decision.")
+	RunAssigned           = declare(2019, Info, "run assigned", "Gives the worker, the log index of the state that the decision was based on, and the log index of the decision, and how long the job has waited if earlier plans did not start it.")
 	RunStopping           = declare(2020, Info, "run to be stopped", "Preempted for work of a higher rank, or stopped because it makes no progress or its worker is leaving.")
 	RunEnded              = declare(2021, Info, "run ended", "Gives the worker, the kind of end and the number under which the runner lists the end.")
 	WorkerAttached        = declare(2022, Info, "worker attached", "Gives the fencing token, the runner's incarnation and capacity, and whether the attachment was accepted.")
@@ -81,6 +81,8 @@
 	WorkerAvoided         = declare(2025, Warning, "worker avoided", "Several runs in a row failed, did not start, hung or were slow there, or one failed right after its start. Gives the reason and for how long the worker is avoided. Check the worker if this recurs.")
 	CommitUncertain       = declare(2026, Warning, "commit outcome unknown", "The command may or may not be committed. The caller resends it.")
 	RefusalWithheld       = declare(2027, Warning, "refusal withheld", "An earlier attempt of the call may have been taken, so the caller is told that its outcome is not known. Gives the outcome that the call would have had.")
+	JobWaits              = declare(2028, Info, "job waits", "Nothing of the job, or of a long-running task of it, has run for two seconds or more although a step is ready. Gives the cause, the resources that each of the tasks needs that are placed together, and the free share of the service in percent. Causes: `no-room`, `room-reserved` (for the job `holder`), `headroom` (left for urgent work), `parallelism-limit`, `run-stopping` (on `worker`), `queue-unknown`, `workers-avoided` and `workers-unresponsive` (only such workers have room), `not-examined` (too many jobs wait). Written again every five seconds, and when the cause changes.")
+	JobHeldBack           = declare(2029, Warning, "job waits beside free room", "As 2028, while there is room for the job and at least half of the service is free. If it recurs, look at the job `holder`, or for 2025 and silent agents.")
 )
 
 // Events of entries.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -20,7 +20,7 @@
 type Meter struct {
 	scope   tally.Scope
 	handler http.Handler
-	series  *sync.Map // seriesKey to tally.Histogram or tally.Counter
+	series  *sync.Map // seriesKey to tally.Histogram, tally.Counter or tally.Gauge
 }
 
 type seriesKey struct {
@@ -70,6 +70,19 @@
 	c.(tally.Counter).Inc(1)
 }
 
+// GaugeOf sets the gauge name of a class to v.
+func (m Meter) GaugeOf(name, class string, v float64) {
+	if m.scope == nil {
+		return
+	}
+	key := seriesKey{name: name, class: class}
+	g, ok := m.series.Load(key)
+	if !ok {
+		g, _ = m.series.LoadOrStore(key, m.scope.Tagged(map[string]string{"class": class}).Gauge(name))
+	}
+	g.(tally.Gauge).Update(v)
+}
+
 // Gauge sets the gauge name to v.
 func (m Meter) Gauge(name string, v float64) {
 	if m.scope != nil {
