Let jobs use reserved room while less than half of a service is in use

Cause: a job that lacks room in a few places has workers reserved for it, idle ones too, for as long as it waits. One gang that lacks one worker keeps all that it would use from every job behind it, however much of the service is idle. The reservation also counts against the headroom, so that batch jobs wait for room that urgent work is not using. Reservations are meant for a full service, and nothing ended them on an empty one.

Change: a demand of a job of which nothing runs may overtake while less than half of its service is in use, by the weight that the planner uses elsewhere. It takes unreserved room first. A job that has waited for five minutes is not overtaken any more. Long-running tasks may overtake at any time, since they have to be restarted on any service that has room.

Why half: that is the rule's own bound, and more costs too much.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -10,15 +10,16 @@
 
 // workerState is the state of one worker while a plan is built.
 type workerState struct {
-	info       tracker.Worker
-	rack       string
-	free       modeler.Resources // neither held by a run nor allocated or reserved in this plan
-	futureFree modeler.Resources // free plus what stopping and nearly done runs release, less reservations
-	avoided    bool
-	suspect    bool             // avoided for tasks that have failed before
-	taskCounts map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
-	runs       []*assignedRun   // runs on the worker, without stopping and nearly done ones
-	releases   []release        // expected ends of runs, earliest first; nil until computed
+	info           tracker.Worker
+	rack           string
+	free           modeler.Resources // neither held by a run nor allocated or reserved in this plan
+	freeOvertaking modeler.Resources // free to a demand that overtakes: less only what is reserved firmly
+	futureFree     modeler.Resources // free plus what stopping and nearly done runs release, less reservations
+	avoided        bool
+	suspect        bool             // avoided for tasks that have failed before
+	taskCounts     map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
+	runs           []*assignedRun   // runs on the worker, without stopping and nearly done ones
+	releases       []release        // expected ends of runs, earliest first; nil until computed
 }
 
 // groupKey identifies the tasks of one step in one occurrence of a job.
@@ -38,7 +39,9 @@
 	gangs            map[groupKey][]*assignedRun  // runs of gangs, without stopping and nearly done ones
 	pools            map[poolKey]poolList         // eligible workers by service and label
 	idleAccelerators map[string]int               // by service, neither in use nor allocated or reserved
+	inUse            map[string]int               // by service, weight of what runs hold or this plan has allocated
 	unplaceable      map[fitKey]bool              // demands that did not fit on free resources in this plan
+	overtakingFailed map[fitKey]bool              // demands that did not fit even when they overtook in this plan
 	stopped          map[tracker.RunKey]bool      // runs that this plan stops
 
 	searches        int // searches for resources that are not free yet
@@ -65,7 +68,7 @@
 		in:      in,
 		workers: make([]*workerState, 0, len(workers)), workersByName: make(map[string]*workerState, len(workers)),
 		gangs: map[groupKey][]*assignedRun{}, pools: map[poolKey]poolList{}, idleAccelerators: map[string]int{},
-		unplaceable: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
+		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, overtakingFailed: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
 	}
 	b.candidates, b.waits.unrouted = rankJobs(in)
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.candidates))
@@ -73,17 +76,21 @@
 		b.jobs[c.job.ID] = c
 	}
 	for _, w := range workers {
+		if w.Detached {
+			continue
+		}
+		used := w.Used()
+		b.inUse[w.Profile.Service] += used.Weight()
 		if w.Usable() && !in.Unresponsive[w.Name] {
-			b.addWorker(w)
+			b.addWorker(w, w.Profile.Capacity.Minus(used))
 		}
 	}
 	return b
 }
 
-func (b *planBuilder) addWorker(worker tracker.Worker) {
-	free := worker.Free()
+func (b *planBuilder) addWorker(worker tracker.Worker, free modeler.Resources) {
 	w := &workerState{
-		info: worker, rack: worker.Profile.Rack(), free: free, futureFree: free,
+		info: worker, rack: worker.Profile.Rack(), free: free, freeOvertaking: free, futureFree: free,
 		avoided: b.in.Avoided[worker.Name], suspect: b.in.Suspect[worker.Name],
 	}
 	b.workers = append(b.workers, w)
@@ -234,17 +241,24 @@
 func (b *planBuilder) allocate(p placement) {
 	for _, t := range p {
 		b.setFree(t.worker, t.worker.free.Minus(t.need))
+		b.inUse[t.worker.info.Profile.Service] += t.need.Weight()
+		t.worker.freeOvertaking = t.worker.freeOvertaking.Minus(t.need)
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
 		t.worker.addTask(t.group)
 	}
 }
 
-// reserve takes free or future resources for waiting tasks, so that no demand planned later uses them.
-func (b *planBuilder) reserve(p placement) {
+// reserve takes free or future resources for the waiting tasks of a demand, so that no demand planned later uses them
+// unless it may overtake. A job that has waited for maxDeferral is not overtaken any more, so that no job starves.
+func (b *planBuilder) reserve(d demand, p placement) {
+	firm := b.in.Now > d.earliestStart+maxDeferral
 	for _, t := range p {
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
 		free, idle := t.worker.free, b.idleAccelerators[t.worker.info.Profile.Service]
 		b.setFree(t.worker, minResources(free, t.worker.futureFree))
+		if firm {
+			t.worker.freeOvertaking = minResources(t.worker.freeOvertaking, t.worker.free)
+		}
 		b.noteReservation(t, free, idle)
 		t.worker.addTask(t.group)
 	}
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -16,11 +16,12 @@
 // placement holds the placement of each task of a demand, in the order of its tasks.
 type placement []taskPlacement
 
-// resourceView returns the resources of a worker that a placement may use: currentFree or futureFree.
+// resourceView returns the resources of a worker that a placement may use: currentFree, overtakingFree or futureFree.
 type resourceView func(*workerState) modeler.Resources
 
-func currentFree(w *workerState) modeler.Resources { return w.free }
-func futureFree(w *workerState) modeler.Resources  { return w.futureFree }
+func currentFree(w *workerState) modeler.Resources    { return w.free }
+func overtakingFree(w *workerState) modeler.Resources { return w.freeOvertaking }
+func futureFree(w *workerState) modeler.Resources     { return w.futureFree }
 
 // fitKey holds all that decides whether a demand fits. If a demand does not fit, neither does a later one of the same
 // plan with an equal key, since free resources only shrink.
@@ -38,9 +39,19 @@
 	return key, step.MaxPerWorker == 0 && !d.hasFailed()
 }
 
-// placeNow places a demand on resources that are free now. It fails at once for a demand like one that did not fit
-// earlier in this plan.
+// placeNow places a demand on resources that are free now: on those that are left to it, or, if it may overtake other
+// jobs, on any.
 func (b *planBuilder) placeNow(d demand) (placement, bool) {
+	p, ok := b.placeFree(d)
+	if ok || !b.mayOvertake(d) {
+		return p, ok
+	}
+	return b.placeOvertaking(d)
+}
+
+// placeFree places a demand on resources that are neither reserved nor part of the headroom. It fails at once for a
+// demand like one that did not fit earlier in this plan.
+func (b *planBuilder) placeFree(d demand) (placement, bool) {
 	if b.mustLeaveHeadroom(d) {
 		return nil, false
 	}
@@ -57,9 +68,13 @@
 
 // place places all tasks of a demand in the domain with the least free resources that holds them.
 func (b *planBuilder) place(d demand, view resourceView) (placement, bool) {
+	return placeIn(d, b.placementDomains(d), view)
+}
+
+func placeIn(d demand, domains [][]*workerState, view resourceView) (placement, bool) {
 	var best placement
 	bestFree := 0
-	for _, domain := range b.placementDomains(d) {
+	for _, domain := range domains {
 		p, ok := pack(d, domain, view)
 		if !ok {
 			continue
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	if p, ok := b.place(d, futureFree); ok {
-		b.reserve(p)
+		b.reserve(d, p)
 		return true
 	}
 	if !b.beginSearch() {
@@ -28,7 +28,7 @@
 	for _, v := range found.victims {
 		b.stop(plan, v)
 	}
-	b.reserve(found.placement)
+	b.reserve(d, found.placement)
 	return true
 }
 
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -24,7 +24,7 @@
 	if p == nil {
 		return
 	}
-	b.reserve(p)
+	b.reserve(d, p)
 	if !batch {
 		return
 	}
