Run the accepted jobs of a queue that a configuration removes

What callers saw: a job whose queue was removed by a later configuration after it had been accepted stood for ever. None of its waiting tasks was started, beside idle workers, and a task that failed on it was neither retried nor did it end the job.

Cause: the planner ranks a job by the settings of its queue, and the tracker takes the limit of attempts from there. Both looked them up in the configuration in force alone. The planner left the job out, and the tracker knew no limit.

A removed workspace held nothing up: its jobs just lose the guarantee. An end that was reported and a cancellation ended such a job before, too.

Change: the state keeps the last settings of a removed queue as long as unfinished jobs refer to it, and State.Queue finds them. The configuration in force goes first, so that a queue that comes back applies with its new settings. A removed queue is dropped at the second Prune that finds it unused: the first one may stand in the log between the admission of a job and its submission.

Replicas of older code ignore the key, and differ from newer ones only in jobs of removed queues.

Calls under a removed queue's host and prefix are answered as before, that no such queue exists, so that such a job can be cancelled only once the queue is back.

The random histories of the tracker now remove and restore the queue, and check that the queue of each unfinished job is known.

--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -64,11 +64,11 @@
 // rankJobs returns the unfinished jobs whose queue is known, ordered by rank and then by order time.
 func rankJobs(in Input) []*candidate {
 	unfinished := in.State.UnfinishedJobs()
-	urgentNeed := urgentAccelerators(in.State.Configuration, unfinished)
+	urgentNeed := urgentAccelerators(in.State, unfinished)
 	capacities := map[string]modeler.Resources{}
 	ranked := make([]*candidate, 0, len(unfinished))
 	for _, j := range unfinished {
-		q, ok := in.State.Configuration.Queue(j.Queue)
+		q, ok := in.State.Queue(j.Queue)
 		if !ok {
 			continue
 		}
@@ -120,10 +120,10 @@
 }
 
 // urgentAccelerators returns, by workspace, the accelerators that its unfinished urgent jobs need together.
-func urgentAccelerators(c modeler.Configuration, unfinished []tracker.Job) map[string]int {
+func urgentAccelerators(s tracker.State, unfinished []tracker.Job) map[string]int {
 	need := map[string]int{}
 	for _, j := range unfinished {
-		if q, ok := c.Queue(j.Queue); ok && q.Priority == 0 {
+		if q, ok := s.Queue(j.Queue); ok && q.Priority == 0 {
 			need[j.Workspace] += j.Accelerators()
 		}
 	}
--- a/internal/tracker/apply.go
+++ b/internal/tracker/apply.go
@@ -37,18 +37,13 @@
 	return s, answer
 }
 
-// configure replaces the configuration if c has a higher version, and drops the run times of queues that are not in c.
+// configure replaces the configuration if c has a higher version.
 func (s *State) configure(c modeler.Configuration) {
 	if c.Version <= s.Configuration.Version {
 		return
 	}
+	s.keepRemovedQueues(c)
 	s.Configuration = c
-	for it := s.runTimes.Iterator(); !it.Done(); {
-		queue, _, _ := it.Next()
-		if _, kept := c.Queue(queue); !kept {
-			s.runTimes = s.runTimes.Delete(queue)
-		}
-	}
 }
 
 // submit adds a job unless a job with its id exists, so that a repeated submission has no effect.
@@ -224,7 +219,7 @@
 		s.endJob(j, JobDone, at)
 		return
 	}
-	queue, known := s.Configuration.Queue(j.Queue)
+	queue, known := s.Queue(j.Queue)
 	if known && queue.MaxAttempts > 0 && j.maxTaskFailures() >= queue.MaxAttempts {
 		s.endJob(j, JobFailed, at)
 	}
@@ -323,6 +318,8 @@
 	for _, id := range expired {
 		s.jobs = s.jobs.Delete(id)
 	}
+	s.pruneRemovedQueues()
+	s.pruneRunTimes()
 }
 
 func (s *State) hasRuns(j Job) bool {
--- a/internal/tracker/command.go
+++ b/internal/tracker/command.go
@@ -105,7 +105,8 @@
 	Stops  []RunKey `cbor:"2,keyasint,omitempty"`
 }
 
-// Prune deletes jobs that ended before a given time and have no runs left on any worker.
+// Prune deletes jobs that ended before a given time and have no runs left on any worker, and removed queues that no
+// unfinished job refers to any more.
 type Prune struct {
 	Before timekeeper.Millis `cbor:"1,keyasint"` // since the Unix epoch
 }
--- a/internal/tracker/doc.go
+++ b/internal/tracker/doc.go
@@ -6,6 +6,7 @@
 //   - The runs of a worker never need more than the worker's capacity.
 //   - A run is removed from its worker only when its end is reported or the worker is detached.
 //   - A configuration is never replaced by an older one.
+//   - The queue of an unfinished job is known, also after a configuration has removed it.
 //   - A task that is done is never run again.
 //
 // Commands are deterministic. They state what they expect, such as an epoch, an attempt or a version, so that a command
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -62,6 +62,7 @@
 	Jobs          []jobSnapshot         `cbor:"2,keyasint"`
 	Workers       []Worker              `cbor:"3,keyasint"`
 	Records       []runTimesSnapshot    `cbor:"4,keyasint,omitempty"`
+	RemovedQueues []removedQueue        `cbor:"5,keyasint,omitempty"`
 }
 
 type runTimesSnapshot struct {
@@ -77,7 +78,7 @@
 }
 
 func (s State) encode() ([]byte, error) {
-	snapshot := stateSnapshot{Configuration: s.Configuration, Workers: s.Workers()}
+	snapshot := stateSnapshot{Configuration: s.Configuration, Workers: s.Workers(), RemovedQueues: s.listRemovedQueues()}
 	s.Jobs(func(j Job) { snapshot.Jobs = append(snapshot.Jobs, jobSnapshot{j.Job, j.Phase, j.Ended, j.Tasks}) })
 	for it := s.runTimes.Iterator(); !it.Done(); {
 		queue, record, _ := it.Next()
@@ -106,5 +107,6 @@
 	for _, r := range snapshot.Records {
 		s.runTimes = s.runTimes.Set(r.Queue, r.Record)
 	}
+	s.removedQueues = newRemovedQueues(snapshot.RemovedQueues)
 	return s, nil
 }
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -18,15 +18,17 @@
 	unfinished    *immutable.SortedMap[modeler.JobID, Job] // jobs that have not ended
 	workers       *immutable.SortedMap[string, Worker]
 	runTimes      *immutable.SortedMap[string, estimator.Record] // by queue
+	removedQueues *immutable.SortedMap[string, removedQueue]     // by name
 }
 
 // New returns the empty state of a new cluster.
 func New() State {
 	return State{
-		jobs:       immutable.NewSortedMap[modeler.JobID, Job](nil),
-		unfinished: immutable.NewSortedMap[modeler.JobID, Job](nil),
-		workers:    immutable.NewSortedMap[string, Worker](nil),
-		runTimes:   immutable.NewSortedMap[string, estimator.Record](nil),
+		jobs:          immutable.NewSortedMap[modeler.JobID, Job](nil),
+		unfinished:    immutable.NewSortedMap[modeler.JobID, Job](nil),
+		workers:       immutable.NewSortedMap[string, Worker](nil),
+		runTimes:      immutable.NewSortedMap[string, estimator.Record](nil),
+		removedQueues: newRemovedQueues(nil),
 	}
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -12,6 +12,8 @@
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 )
 
+var testQueue = modeler.Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "app", MaxAttempts: 2}
+
 // history applies commands to a state and checks the package's invariants after each, including those over time.
 type history struct {
 	fatalf func(format string, args ...any)
@@ -25,7 +27,7 @@
 	h := &history{fatalf: fatalf, state: New(), starts: map[TaskKey]int{}, done: map[TaskKey]bool{}}
 	h.apply(Command{Configure: &modeler.Configuration{
 		Version: 1, Services: []string{"app"},
-		Queues: []modeler.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "app", MaxAttempts: 2}},
+		Queues: []modeler.Queue{testQueue},
 	}})
 	return h
 }
@@ -71,6 +73,7 @@
 			}
 		}
 	}
+	h.checkQueues()
 	h.state.Jobs(func(j Job) {
 		for instance, tasks := range j.Tasks {
 			for index, t := range tasks {
@@ -82,6 +85,15 @@
 	})
 }
 
+// checkQueues fails the test if the queue of an unfinished job is not known.
+func (h *history) checkQueues() {
+	for _, j := range h.state.UnfinishedJobs() {
+		if q, _ := h.state.Queue(j.Queue); q != testQueue {
+			h.fatalf("job %s is unfinished and its queue %s is %+v, want %+v", j.ID, j.Queue, q, testQueue)
+		}
+	}
+}
+
 func (h *history) checkRun(r Run) {
 	if r.Key.Attempt < h.starts[r.Key.Task] {
 		h.fatalf("run %v appeared after attempt %d of its task", r.Key, h.starts[r.Key.Task])
@@ -118,7 +130,7 @@
 		},
 		Attempt: rapid.IntRange(1, 4).Draw(rt, "attempt"),
 	}
-	switch rapid.IntRange(0, 7).Draw(rt, "kind") {
+	switch rapid.IntRange(0, 9).Draw(rt, "kind") {
 	case 0:
 		return Command{Attach: &Attach{
 			Worker: worker, Incarnation: Incarnation{ID: worker, StartedAt: int64(rapid.IntRange(1, 3).Draw(rt, "started at"))},
@@ -126,6 +138,9 @@
 			Profile:      Profile{Service: "app", Capacity: modeler.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 4}},
 		}}
 	case 1:
+		if _, known := h.state.Queue("q"); !known {
+			return Command{Prune: &Prune{}} // no job is admitted to an unknown queue
+		}
 		gang := rapid.Bool().Draw(rt, "gang")
 		return Command{Submit: &modeler.Job{ID: run.Task.Job, Queue: "q", Repeat: rapid.IntRange(0, 2).Draw(rt, "repeat"), Steps: []modeler.Step{
 			{Count: 2, Need: modeler.Resources{Accelerators: 2}, Gang: gang}, {Count: 1, Need: modeler.Resources{Accelerators: 3}, After: []int{0}},
@@ -136,6 +151,10 @@
 		return Command{Detach: &Detach{Worker: worker, Epoch: epoch}}
 	case 4:
 		return Command{Report: &Report{Worker: worker, Epoch: epoch, Ends: []End{drawEnd(rt, w, run, i)}}}
+	case 5:
+		return Command{Configure: drawConfiguration(rt, h.state.Configuration.Version+1)}
+	case 6:
+		return Command{Prune: &Prune{}}
 	}
 	starts := []Start{{Run: run, Worker: worker, Epoch: epoch}}
 	if rapid.Bool().Draw(rt, "both") {
@@ -145,6 +164,15 @@
 	return Command{Assign: &Assign{Starts: starts, Stops: []RunKey{run}}}
 }
 
+// drawConfiguration returns the configuration of newHistory, with or without its queue.
+func drawConfiguration(rt *rapid.T, version uint64) *modeler.Configuration {
+	c := modeler.Configuration{Version: version, Services: []string{"app"}}
+	if rapid.Bool().Draw(rt, "queue kept") {
+		c.Queues = []modeler.Queue{testQueue}
+	}
+	return &c
+}
+
 func drawEnd(rt *rapid.T, w Worker, run RunKey, number int) End {
 	if len(w.Runs) > 0 && rapid.Bool().Draw(rt, "real") {
 		run = rapid.SampledFrom(w.Runs).Draw(rt, "run").Key
