Start no runs on a worker whose runner does not answer its agent

What callers see: a job that is assigned to a worker whose runner has stopped answering has nothing running until the lease of that worker ends, though other workers are idle.

Cause: the agent tells the leader that its runner does not answer, and the leader then grants no more leases. But the call itself counted as a sign of life of the agent, and the planner leaves out only workers whose agents are silent. So it went on to assign runs to the worker, and the watch that is held for such an agent hands out no assignments.

How much longer jobs waited was not measured; by reading, it is the rest of the lease.

Change: the leader keeps what the last call of an agent said of its runner, and such a worker gets no new runs. The next call without it, or a new term, clears it. Runs that the worker has already are left to the lease, as before, since they may still execute.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -35,7 +35,7 @@
 		return &WatchResponse{Reply: c.notLeader()}, nil
 	}
 	now := c.clock.Now()
-	c.leases.recordCall(r.Worker, now)
+	c.leases.recordCall(r.Worker, now, r.RunnerUnresponsive)
 	c.observer.recordReports(now, r.Running)
 	if r.Draining {
 		c.recordDraining(ctx, r, now)
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -29,11 +29,13 @@
 	expiry      map[string]timekeeper.Millis // by worker: when the last lease granted by this leader has ended for certain
 	lastCall    map[string]timekeeper.Millis // by worker: when its agent last called
 	revoked     map[string]uint64            // by worker: the last epoch that gets no more leases
+	runnerDown  map[string]bool              // by worker: its agent said at its last call that the runner does not answer
 }
 
 func newLeases(duration timekeeper.Millis) *leases {
 	return &leases{
 		duration: duration, expiry: map[string]timekeeper.Millis{}, lastCall: map[string]timekeeper.Millis{}, revoked: map[string]uint64{},
+		runnerDown: map[string]bool{},
 	}
 }
 
@@ -45,6 +47,7 @@
 	clear(l.expiry)
 	clear(l.lastCall)
 	clear(l.revoked)
+	clear(l.runnerDown)
 }
 
 // grant records a lease for an attachment and returns its duration. The agent counts it from when it sent its request,
@@ -60,10 +63,11 @@
 	return l.duration, true
 }
 
-func (l *leases) recordCall(worker string, now timekeeper.Millis) {
+// recordCall records a call of the worker's agent, and whether its runner answers the agent.
+func (l *leases) recordCall(worker string, now timekeeper.Millis, runnerDown bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastCall[worker] = now
+	l.lastCall[worker], l.runnerDown[worker] = now, runnerDown
 }
 
 // latestExpiry returns when a lease granted at the given time has ended for certain, even by a slow clock.
@@ -87,9 +91,10 @@
 	return true
 }
 
-// silent reports whether the worker's agent has not called for longer than span.
+// silent reports whether the worker's agent has not called for longer than span, or said that the runner does not
+// answer.
 func (l *leases) silent(worker string, now, span timekeeper.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now-max(l.lastCall[worker], l.leaderSince) > span
+	return l.runnerDown[worker] || now-max(l.lastCall[worker], l.leaderSince) > span
 }
