--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -23,10 +23,7 @@
 
 // poll starts a call that renews the lease and fetches a listing from the runner.
 func (s *session) poll(ctx context.Context) {
-	s.polling = true
-	s.sentPolls++
-	request := PollRequest{Epoch: s.epoch, Acknowledged: s.committedEnd, LeaseEnd: s.leaseEnd, Wait: s.pollWait()}
-	serial := s.sentPolls
+	request, serial := s.nextPoll()
 	go func() {
 		call, cancel := context.WithTimeout(ctx, request.Wait.Duration()+pollGrace)
 		defer cancel()
@@ -38,6 +35,13 @@
 	}()
 }
 
+// nextPoll marks a poll as sent and returns its request and number.
+func (s *session) nextPoll() (PollRequest, int) {
+	s.polling = true
+	s.sentPolls++
+	return PollRequest{Epoch: s.epoch, Acknowledged: s.committedEnd, LeaseEnd: s.leaseEnd, Wait: s.pollWait()}, s.sentPolls
+}
+
 // pollWait returns how long the runner may delay its response. It is zero while the session needs a listing at once:
 // for the first poll, and to learn the state of a fenced run.
 func (s *session) pollWait() timekeeper.Millis {
