Planner: keep the waits of a plan in one list, and measure different needs

The waits of a plan were allocated one by one and then copied, and reserved room was looked up in a map for each worker of each demand examined. They are one list now, and the worker holds its reservations. A benchmark in which each job needs another amount of memory is added, as a demand without room is examined once for all equal ones.

--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -18,6 +18,8 @@
 	}
 	// The size that the users state: 20,000 tasks run on workers of one accelerator, and as many wait.
 	b.Run("20000-tasks", func(b *testing.B) { benchmarkPlan(b, 1058, 1300, smallTasks) })
+	// Each job needs another amount of memory, so that what a plan finds for one says nothing about the next.
+	b.Run("different-needs", func(b *testing.B) { benchmarkPlan(b, 1058, 1058*2, differentNeeds) })
 }
 
 // mixedJob returns the i-th job of a mix of the users' kinds, for workers of eight accelerators.
@@ -31,6 +33,13 @@
 	return "checks", tasks(8, 1, 7000)
 }
 
+// differentNeeds returns the i-th job of the mix of mixedJob, with tasks that need a little more than those before.
+func differentNeeds(i int) (queue string, step modeler.Step) {
+	queue, step = mixedJob(i)
+	step.Need.MemoryMB += i
+	return queue, step
+}
+
 // smallTasks returns the i-th job of a mix of jobs and gangs of 32 tasks that need no accelerators.
 func smallTasks(i int) (queue string, step modeler.Step) {
 	queue, step = "checks", tasks(32, 0, 7000)
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -19,6 +19,7 @@
 	taskCounts map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
 	runs       []*assignedRun   // runs on the worker, without stopping and nearly done ones
 	releases   []release        // expected ends of runs, earliest first; nil until computed
+	held       []holding        // free resources that reservations of this plan hold
 }
 
 // groupKey identifies the tasks of one step in one occurrence of a job.
--- a/internal/planner/wait.go
+++ b/internal/planner/wait.go
@@ -72,15 +72,14 @@
 	b.stopDraining(&d.Assign)
 	for _, c := range b.candidates {
 		started := len(d.Starts)
-		b.waits.current = nil
+		b.waits.earlier = len(b.waits.list)
 		for instance := range c.job.Tasks {
 			b.planInstance(&d.Assign, c, instance)
 		}
-		if len(d.Starts) == started {
-			d.Waits = b.appendWait(d.Waits, c)
-		}
+		b.settleWait(c, len(d.Starts) > started)
 	}
-	d.Waits = b.appendUnrouted(d.Waits)
+	b.noteUnrouted()
+	d.Waits = b.waits.list
 	return d
 }
 
@@ -89,13 +88,13 @@
 
 // waitNotes collects what a plan finds about the jobs that it does not start.
 type waitNotes struct {
-	unrouted     []tracker.Job              // unfinished jobs whose queue is unknown
-	current      *Wait                      // of the candidate that is being planned, if it waits
-	examined     int                        // demands examined
-	noRoom       map[fitKey]bool            // examined demands that have no room
-	reservedIdle map[string]int             // by service, accelerators that only reservations keep from being idle
-	unresponsive map[poolKey]workerPool     // eligible workers, those with unresponsive agents included
-	held         map[*workerState][]holding // free resources that reservations hold
+	unrouted     []tracker.Job          // unfinished jobs whose queue is unknown
+	list         []Wait                 // one at most of each candidate
+	earlier      int                    // length of list before the current candidate
+	examined     int                    // demands examined
+	noRoom       map[fitKey]bool        // examined demands that have no room
+	reservedIdle map[string]int         // by service, accelerators that only reservations keep from being idle
+	unresponsive map[poolKey]workerPool // eligible workers, those with unresponsive agents included
 }
 
 // holding is the free resources of a worker that a reservation holds for a job.
@@ -111,18 +110,18 @@
 	if room == (modeler.Resources{}) {
 		return
 	}
-	if b.waits.held == nil {
-		b.waits.held, b.waits.reservedIdle = map[*workerState][]holding{}, map[string]int{}
+	if b.waits.reservedIdle == nil {
+		b.waits.reservedIdle = map[string]int{}
 	}
 	service := t.worker.info.Profile.Service
-	b.waits.held[t.worker] = append(b.waits.held[t.worker], holding{t.group.job, room})
+	t.worker.held = append(t.worker.held, holding{t.group.job, room})
 	b.waits.reservedIdle[service] += idle - b.idleAccelerators[service]
 }
 
 // unreserved returns the free resources of a worker without the plan's reservations.
-func (b *planBuilder) unreserved(w *workerState) modeler.Resources {
+func (w *workerState) unreserved() modeler.Resources {
 	free := w.free
-	for _, h := range b.waits.held[w] {
+	for _, h := range w.held {
 		free = free.Plus(h.room)
 	}
 	return free
@@ -131,22 +130,22 @@
 // noteWait records why the current candidate waits for a demand, before resources are reserved for it. A job of which
 // something runs does not wait, but for its long-running tasks.
 func (b *planBuilder) noteWait(d demand) {
-	if b.waits.current != nil || d.planned > 0 {
+	if len(b.waits.list) > b.waits.earlier || d.planned > 0 {
 		return
 	}
-	if running, _ := b.activity(d.job); running && !d.step.LongRunning {
+	if running, _ := b.activity(&d.job); running && !d.step.LongRunning {
 		return
 	}
-	w := newWait(d.job, d.instance)
+	w := newWait(&d.job, d.instance)
 	if d.atParallelismLimit() {
 		w.Cause = CauseParallelism
 	} else {
 		w.Cause, w.Holder = b.examine(d)
 	}
-	b.waits.current = &w
+	b.waits.list = append(b.waits.list, w)
 }
 
-func newWait(j tracker.Job, instance int) Wait {
+func newWait(j *tracker.Job, instance int) Wait {
 	w := Wait{Job: j.ID, Queue: j.Queue, Workspace: j.Workspace, Instance: instance, Tasks: 1}
 	step := j.StepOf(instance)
 	w.Need = step.Need
@@ -156,33 +155,37 @@
 	return w
 }
 
-// appendWait appends the wait of a candidate of which the plan starts nothing, if it waits.
-func (b *planBuilder) appendWait(waits []Wait, c *candidate) []Wait {
-	if b.waits.current != nil {
-		return append(waits, *b.waits.current)
+// settleWait drops the wait of a candidate that the plan starts, and notes the wait of one all of whose runs are being
+// stopped.
+func (b *planBuilder) settleWait(c *candidate, started bool) {
+	if started {
+		b.waits.list = b.waits.list[:b.waits.earlier]
+		return
 	}
-	running, stopping := b.activity(c.job)
+	if len(b.waits.list) > b.waits.earlier {
+		return
+	}
+	running, stopping := b.activity(&c.job)
 	if running || stopping.worker == "" {
-		return waits
+		return
 	}
-	w := newWait(c.job, stopping.instance)
+	w := newWait(&c.job, stopping.instance)
 	w.Cause, w.Worker = CauseStopping, stopping.worker
-	return append(waits, w)
+	b.waits.list = append(b.waits.list, w)
 }
 
-// appendUnrouted appends the waits of jobs whose queue is unknown.
-func (b *planBuilder) appendUnrouted(waits []Wait) []Wait {
+// noteUnrouted notes the waits of jobs whose queue is unknown.
+func (b *planBuilder) noteUnrouted() {
 	for _, j := range b.waits.unrouted {
-		if running, _ := b.activity(j); running {
+		if running, _ := b.activity(&j); running {
 			continue
 		}
 		if instance := b.readyInstance(j); instance >= 0 {
-			w := newWait(j, instance)
+			w := newWait(&j, instance)
 			w.Cause = CauseQueueUnknown
-			waits = append(waits, w)
+			b.waits.list = append(b.waits.list, w)
 		}
 	}
-	return waits
 }
 
 // readyInstance returns the first instance that is due and ready and has waiting tasks, or -1.
@@ -203,7 +206,7 @@
 }
 
 // activity reports whether a run of a job goes on, and else returns the last of its runs that is being stopped.
-func (b *planBuilder) activity(j tracker.Job) (running bool, stopping stoppingRun) {
+func (b *planBuilder) activity(j *tracker.Job) (running bool, stopping stoppingRun) {
 	for instance := range j.Tasks {
 		for index := range j.Tasks[instance] {
 			t := &j.Tasks[instance][index]
@@ -255,11 +258,11 @@
 		return CauseNotExamined
 	}
 	switch {
-	case b.hasRoom(d, b.placementDomains(d)):
+	case hasRoom(d, b.placementDomains(d)):
 		return CauseReserved
-	case b.hasRoom(d, d.domainsOf(b.allEligible(d))):
+	case hasRoom(d, d.domainsOf(b.allEligible(d))):
 		return CauseAvoided
-	case len(b.in.Unresponsive) > 0 && b.hasRoom(d, d.domainsOf(b.withUnresponsive(d))):
+	case len(b.in.Unresponsive) > 0 && hasRoom(d, d.domainsOf(b.withUnresponsive(d))):
 		return CauseUnresponsive
 	}
 	if cacheable {
@@ -272,14 +275,14 @@
 }
 
 // hasRoom reports whether one of the domains could hold the whole demand now, without the plan's reservations.
-func (b *planBuilder) hasRoom(d demand, domains [][]*workerState) bool {
-	return slices.ContainsFunc(domains, func(workers []*workerState) bool { return b.hasRoomOn(d, workers) })
+func hasRoom(d demand, domains [][]*workerState) bool {
+	return slices.ContainsFunc(domains, func(workers []*workerState) bool { return hasRoomOn(d, workers) })
 }
 
-func (b *planBuilder) hasRoomOn(d demand, workers []*workerState) bool {
+func hasRoomOn(d demand, workers []*workerState) bool {
 	remaining := len(d.tasks)
 	for _, w := range workers {
-		n := d.step.Need.FitCount(b.unreserved(w), remaining)
+		n := d.step.Need.FitCount(w.unreserved(), remaining)
 		if limit := d.step.MaxPerWorker; limit > 0 {
 			n = min(n, max(limit-w.taskCounts[d.group()], 0))
 		}
@@ -330,7 +333,7 @@
 	held := map[modeler.JobID]int{}
 	var largest modeler.JobID
 	for _, w := range workers {
-		for _, h := range b.waits.held[w] {
+		for _, h := range w.held {
 			held[h.job] += h.room.Weight()
 			if largest == "" || held[h.job] > held[largest] {
 				largest = h.job
