Test the cause of an unknown queue with a queue that never was

The case removed the queue of an accepted job. A job with a queue that no configuration ever had keeps it, and the expected wait is as exact as before.

--- a/internal/planner/wait_test.go
+++ b/internal/planner/wait_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
@@ -101,15 +100,11 @@
 			want: []Wait{{Job: "gang", Queue: "urgent", Workspace: "other", Tasks: 2, Need: small, Cause: CauseStopping, Worker: workerName(0)}},
 		},
 		{
-			name: "the configuration lacks the queue", workers: 1,
+			name: "the queue is unknown", workers: 1,
 			prepare: func(sim *simulation) {
-				submitLong(sim, "waiting", "plans", 8)
-				next := sim.state.Configuration
-				next.Version++
-				next.Queues = []modeler.Queue{next.Queues[0], next.Queues[2]}
-				sim.apply(tracker.Command{Configure: &next})
+				submitLong(sim, "waiting", "unknown", 8)
 			},
-			want: []Wait{{Job: "waiting", Queue: "plans", Workspace: "other", Tasks: 1, Need: whole, Cause: CauseQueueUnknown}},
+			want: []Wait{{Job: "waiting", Queue: "unknown", Workspace: "other", Tasks: 1, Need: whole, Cause: CauseQueueUnknown}},
 		},
 	}
 	for _, test := range tests {
