--- a/internal/coordinator/waits.go
+++ b/internal/coordinator/waits.go
@@ -172,7 +172,7 @@
 	if w.Worker != "" {
 		fields = append(fields, logger.F("worker", w.Worker))
 	}
-	if q, ok := state.Configuration.Queue(w.Queue); ok {
+	if q, ok := state.Queue(w.Queue); ok {
 		fields = append(fields, logger.F("free", free[q.Service]))
 		if w.Cause.HasRoom() && free[q.Service] >= idleShare {
 			event = logger.JobHeldBack
--- a/internal/planner/overtake.go
+++ b/internal/planner/overtake.go
@@ -15,7 +15,7 @@
 	if d.planned > 0 || b.inUse[d.queue.Service]*idleServiceDivisor >= d.capacity.Weight() {
 		return false
 	}
-	running, _ := b.activity(d.job)
+	running, _ := b.activity(&d.job)
 	return !running
 }
 
