Keep room for which runs are being stopped from those that overtake

What callers would see: an urgent gang within its guarantee stops runs and does not start, since jobs behind it, the stopped ones among them, take the workers that wait for it; it stops others, and so on.

Cause: overtaking made no difference between room that a job hopes for and room that is being freed for it. The first lasts as long as the runs that are in the way, the second as long as a stop.

Both cases of the new test fail on the code before this commit and pass on it.

Change: reservations of demands that may preempt are firm, as are those of jobs that have waited for minutes; only others may be overtaken. They last for a stop at most, or until a worker that does not answer is left out, so that nothing stands behind them for long.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -249,22 +249,26 @@
 	}
 }
 
-// reserve takes free or future resources for the waiting tasks of a demand, so that no demand planned later uses them
-// unless it may overtake. A job that has waited for maxDeferral is not overtaken any more, so that no job starves.
-func (b *planBuilder) reserve(d demand, p placement) {
-	firm := b.in.Now > d.earliestStart+maxDeferral
+// reserve takes free or future resources for waiting tasks, so that no demand planned later uses them unless it may
+// overtake.
+func (b *planBuilder) reserve(p placement) {
 	for _, t := range p {
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
 		free, idle := t.worker.free, b.idleAccelerators[t.worker.info.Profile.Service]
 		b.setFree(t.worker, minResources(free, t.worker.futureFree))
-		if firm {
-			t.worker.freeOvertaking = minResources(t.worker.freeOvertaking, t.worker.free)
-		}
 		b.noteReservation(t, free, idle)
 		t.worker.addTask(t.group)
 	}
 }
 
+// reserveFirmly reserves resources that no demand planned later may use.
+func (b *planBuilder) reserveFirmly(p placement) {
+	b.reserve(p)
+	for _, t := range p {
+		t.worker.freeOvertaking = minResources(t.worker.freeOvertaking, t.worker.free)
+	}
+}
+
 // setFree sets the free resources of a worker and updates the idle accelerators of its service.
 func (b *planBuilder) setFree(w *workerState, free modeler.Resources) {
 	b.idleAccelerators[w.info.Profile.Service] += max(free.Accelerators, 0) - max(w.free.Accelerators, 0)
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -5,8 +5,10 @@
 // Invariants: runs are started only on free resources, and a stopping run holds its resources until it has ended;
 // urgent jobs within their workspace's guarantee come first; a job preempts only runs of jobs that rank behind it; a
 // gang starts all its members in one plan or none.
-// While less than half of a service is in use, no job of which nothing runs waits for resources that are free on its
-// workers, though they are reserved for other jobs.
+//
+// While less than half of a service is in use, no job of which nothing runs waits for free resources that are only kept
+// for others: as headroom, or by a reservation that is not firm. Those for which runs are being stopped are firm, and
+// those of jobs that have waited for minutes.
 //
 // A reservation lasts for one plan: it keeps free resources, or resources that are being released, from demands that
 // are planned later. It is not the reservation of package scheduler, which is part of that package's state.
--- a/internal/planner/overtake_test.go
+++ b/internal/planner/overtake_test.go
@@ -125,8 +125,11 @@
 }
 
 // occupy lets a job of one task run on the whole of a worker.
-func (sim *simulation) occupy(id modeler.JobID, worker string) {
-	sim.submit(string(id), "plans", "other", 600_000, tasks(1, 8, 600_000))
+func (sim *simulation) occupy(id modeler.JobID, worker string) { sim.occupyWith(id, worker, 8) }
+
+// occupyWith lets a job of one task run on a worker.
+func (sim *simulation) occupyWith(id modeler.JobID, worker string, accelerators int) {
+	sim.submit(string(id), "plans", "other", 600_000, tasks(1, accelerators, 600_000))
 	w, _ := sim.state.Worker(worker)
 	run := tracker.RunKey{Task: tracker.TaskKey{Job: id}, Attempt: 1}
 	sim.apply(tracker.Command{Assign: &tracker.Assign{Starts: []tracker.Start{{Run: run, Worker: worker, Epoch: w.Epoch}}}})
@@ -149,6 +152,51 @@
 	}
 }
 
+// TestPreemptedRoomIsNotOvertaken guards against batch jobs, new ones or those that were stopped, that take workers for
+// which an urgent gang within its guarantee waits.
+func TestPreemptedRoomIsNotOvertaken(t *testing.T) {
+	oneOfWorker := tasks(1, 2, 600_000)
+	oneOfWorker.Need.MemoryMB = 68_000
+	tests := []struct {
+		name    string
+		workers int
+		oneRack bool
+		batch   func(sim *simulation)
+	}{
+		{"new jobs", 9, true, func(sim *simulation) {
+			for i := range 3 {
+				sim.occupyWith(modeler.JobID(fmt.Sprintf("small%d", i)), workerName(3*i), 1)
+			}
+			for i := range 6 {
+				sim.submit(fmt.Sprintf("behind%d", i), "plans", "other", 5000, tasks(1, 8, 5000))
+			}
+		}},
+		{"stopped jobs", 6, false, func(sim *simulation) {
+			for i := range 6 {
+				sim.submit(fmt.Sprintf("small%d", i), "plans", "other", 600_000, oneOfWorker)
+			}
+			sim.run(100, nil)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, Plan, test.workers)
+			test.batch(sim)
+			urgent := tasks(3, 8, 2500)
+			urgent.Gang, urgent.OneRack = true, test.oneRack
+			submitted := sim.now
+			sim.submit("urgent", "urgent", "guaranteed", 2500, urgent)
+			sim.run(submitted+stopTime+3*tick, nil)
+			if n := len(assignedTo(sim.state, "urgent")); n != 3 {
+				t.Errorf("%d members of the urgent gang run after the time of one stop, want 3", n)
+			}
+			if sim.stopCount > 3 {
+				t.Errorf("%d runs were stopped, want 3 at most", sim.stopCount)
+			}
+		})
+	}
+}
+
 // TestOvertakenGangStartsAtLast guards against a gang that needs all workers and is overtaken by small jobs for ever.
 func TestOvertakenGangStartsAtLast(t *testing.T) {
 	const duration timekeeper.Millis = 2000
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	if p, ok := b.place(d, futureFree); ok {
-		b.reserve(d, p)
+		b.reserveFirmly(p)
 		return true
 	}
 	if !b.beginSearch() {
@@ -28,7 +28,7 @@
 	for _, v := range found.victims {
 		b.stop(plan, v)
 	}
-	b.reserve(d, found.placement)
+	b.reserveFirmly(found.placement)
 	return true
 }
 
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -14,7 +14,7 @@
 
 // reserveEarliest reserves the workers on which a demand that preempts nothing is expected to fit first. Without it,
 // smaller tasks would take all resources as they are released, and starve a task that needs a whole worker or a gang
-// that needs a rack.
+// that needs a rack. Once a job has waited for maxDeferral its reservation is firm, so that no job starves.
 func (b *planBuilder) reserveEarliest(d demand) {
 	batch := d.rank >= rankBatch
 	if d.rank >= rankExpired || batch && b.reservedWorkers >= b.maxReservedWorkers() || !b.beginSearch() {
@@ -24,7 +24,11 @@
 	if p == nil {
 		return
 	}
-	b.reserve(d, p)
+	if b.in.Now > d.earliestStart+maxDeferral {
+		b.reserveFirmly(p)
+	} else {
+		b.reserve(p)
+	}
 	if !batch {
 		return
 	}
