--- a/internal/planner/wait.go
+++ b/internal/planner/wait.go
@@ -35,7 +35,7 @@
 // String returns the name of the cause in logs and metrics.
 func (c Cause) String() string {
 	return [...]string{
-		"not-examined", "no-room", "room-reserved", "headroom", "parallelism-limit", "run-stopping", "queue-unknown",
+		"not-examined", "no-room", "room-reserved", "headroom", "parallelism-limit", "stop-pending", "queue-unknown",
 		"workers-avoided", "workers-unresponsive",
 	}[c]
 }
