Let jobs pass room that an urgent one expects from a run that hangs

What callers would see: an urgent gang waits for a run that has done its work and does not end, such as a member of a gang that waits for others, and jobs behind it stand beside idle workers meanwhile.

Cause: took every reservation of a demand that may preempt for one that lasts as long as a stop.

The new test failed before and passes now.

Change: such a reservation is firm only if a run is really being stopped on one of its workers.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -17,6 +17,7 @@
 	futureFree     modeler.Resources // free plus what stopping and nearly done runs release, less reservations
 	avoided        bool
 	suspect        bool             // avoided for tasks that have failed before
+	stopping       bool             // a run is being stopped
 	taskCounts     map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
 	runs           []*assignedRun   // runs on the worker, without stopping and nearly done ones
 	releases       []release        // expected ends of runs, earliest first; nil until computed
@@ -108,7 +109,7 @@
 	c, unfinished := b.jobs[run.Key.Task.Job]
 	if !unfinished {
 		if run.Stopping {
-			w.futureFree = w.futureFree.Plus(run.Need)
+			w.futureFree, w.stopping = w.futureFree.Plus(run.Need), true
 		}
 		return
 	}
@@ -120,6 +121,7 @@
 	}
 	if run.Stopping || progress.nearlyDone(remaining) {
 		w.futureFree = w.futureFree.Plus(run.Need)
+		w.stopping = w.stopping || run.Stopping
 		return
 	}
 	placed := &assignedRun{
@@ -233,7 +235,7 @@
 
 // markStopping removes a run from w.runs and counts its resources as free in future.
 func (w *workerState) markStopping(stopped *assignedRun) {
-	w.futureFree = w.futureFree.Plus(stopped.run.Need)
+	w.futureFree, w.stopping = w.futureFree.Plus(stopped.run.Need), true
 	w.runs = slices.DeleteFunc(w.runs, func(p *assignedRun) bool { return p == stopped })
 	w.releases = nil
 }
@@ -269,6 +271,16 @@
 	}
 }
 
+// reserveReleased reserves resources that are being released. The reservation is firm if a run is being stopped on one of
+// the workers, which takes no longer than a stop; runs that are nearly done may take longer than they are expected to.
+func (b *planBuilder) reserveReleased(p placement) {
+	if slices.ContainsFunc(p, func(t taskPlacement) bool { return t.worker.stopping }) {
+		b.reserveFirmly(p)
+		return
+	}
+	b.reserve(p)
+}
+
 // setFree sets the free resources of a worker and updates the idle accelerators of its service.
 func (b *planBuilder) setFree(w *workerState, free modeler.Resources) {
 	b.idleAccelerators[w.info.Profile.Service] += max(free.Accelerators, 0) - max(w.free.Accelerators, 0)
--- a/internal/planner/overtake.go
+++ b/internal/planner/overtake.go
@@ -4,10 +4,10 @@
 // 1/idleServiceDivisor of it is in use.
 const idleServiceDivisor = 2
 
-// mayOvertake reports whether a demand may use free resources that are reserved for jobs before it or left as headroom,
-// and workers that its tasks would else keep clear of. It may while nothing of its job runs and its service is mostly
-// idle: a job that waits then lacks room in a few places only, and those behind it must not stand beside idle workers.
-// Long-running tasks may at any time.
+// mayOvertake reports whether a demand may use headroom, free resources that are reserved for jobs before it, but for firm
+// reservations, and workers that its tasks would else keep clear of. It may if nothing of its job ran before this plan and
+// its service is mostly idle: a job that waits then lacks room in a few places only, and those behind it must not stand
+// beside idle workers. Long-running tasks may on any service.
 func (b *planBuilder) mayOvertake(d demand) bool {
 	if d.step.LongRunning {
 		return true
--- a/internal/planner/overtake_test.go
+++ b/internal/planner/overtake_test.go
@@ -197,6 +197,26 @@
 	}
 }
 
+// TestNearlyDoneRunKeepsNoJobFromIdleWorkers guards against an urgent gang that waits for a run which has done its work and
+// does not end, and meanwhile keeps jobs behind it from idle workers.
+func TestNearlyDoneRunKeepsNoJobFromIdleWorkers(t *testing.T) {
+	sim := newSimulation(t, Plan, 3)
+	sim.occupyWith("done", workerName(0), 1)
+	urgent := tasks(3, 8, 2500)
+	urgent.Gang = true
+	sim.submit("urgent", "urgent", "guaranteed", 2500, urgent)
+	sim.submit("behind", "plans", "other", 5000, tasks(1, 8, 5000))
+	in := sim.input()
+	in.Progress[tracker.RunKey{Task: tracker.TaskKey{Job: "done"}, Attempt: 1}] = Progress{Percent: 100, Elapsed: 5000}
+	var got []modeler.JobID
+	for _, start := range Plan(in).Starts {
+		got = append(got, start.Run.Task.Job)
+	}
+	if diff := cmp.Diff([]modeler.JobID{"behind"}, got); diff != "" {
+		t.Errorf("jobs started (-want +got):\n%s", diff)
+	}
+}
+
 // TestOvertakenGangStartsAtLast guards against a gang that needs all workers and is overtaken by small jobs for ever.
 func TestOvertakenGangStartsAtLast(t *testing.T) {
 	const duration timekeeper.Millis = 2000
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	if p, ok := b.place(d, futureFree); ok {
-		b.reserveFirmly(p)
+		b.reserveReleased(p)
 		return true
 	}
 	if !b.beginSearch() {
@@ -28,7 +28,7 @@
 	for _, v := range found.victims {
 		b.stop(plan, v)
 	}
-	b.reserveFirmly(found.placement)
+	b.reserveReleased(found.placement)
 	return true
 }
 
