--- a/internal/planner/overtake_test.go
+++ b/internal/planner/backfill_test.go
@@ -136,7 +136,7 @@
 	sim.recordStarts()
 }
 
-// TestReservationsHoldOnBusyService guards against jobs that overtake a waiting gang while most of the service is in use.
+// TestReservationsHoldOnBusyService guards against backfill before a waiting gang while most of the service is in use.
 func TestReservationsHoldOnBusyService(t *testing.T) {
 	sim := newSimulation(t, Plan, 10)
 	for i := range 8 {
@@ -152,9 +152,9 @@
 	}
 }
 
-// TestPreemptedRoomIsNotOvertaken guards against batch jobs, new ones or those that were stopped, that take workers for
+// TestPreemptedRoomIsNotBackfilled guards against batch jobs, new ones or those that were stopped, that take workers for
 // which an urgent gang within its guarantee waits.
-func TestPreemptedRoomIsNotOvertaken(t *testing.T) {
+func TestPreemptedRoomIsNotBackfilled(t *testing.T) {
 	oneOfWorker := tasks(1, 2, 600_000)
 	oneOfWorker.Need.MemoryMB = 68_000
 	tests := []struct {
@@ -217,8 +217,8 @@
 	}
 }
 
-// TestOvertakenGangStartsAtLast guards against a gang that needs all workers and is overtaken by small jobs for ever.
-func TestOvertakenGangStartsAtLast(t *testing.T) {
+// TestGangStartsAtLastDespiteBackfill guards against a gang that needs all workers and starves while small jobs are backfilled.
+func TestGangStartsAtLastDespiteBackfill(t *testing.T) {
 	const duration timekeeper.Millis = 2000
 	sim := newSimulation(t, Plan, 4)
 	wide := tasks(4, 8, maxDeferral)
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -10,18 +10,18 @@
 
 // workerState is the state of one worker while a plan is built.
 type workerState struct {
-	info           tracker.Worker
-	rack           string
-	free           modeler.Resources // neither held by a run nor allocated or reserved in this plan
-	freeOvertaking modeler.Resources // free to a demand that overtakes: less only what is reserved firmly
-	futureFree     modeler.Resources // free plus what stopping and nearly done runs release, less reservations
-	avoided        bool
-	suspect        bool             // avoided for tasks that have failed before
-	stopping       bool             // a run is being stopped
-	taskCounts     map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
-	runs           []*assignedRun   // runs on the worker, without stopping and nearly done ones
-	releases       []release        // expected ends of runs, earliest first; nil until computed
-	held           []holding        // free resources that reservations of this plan hold
+	info            tracker.Worker
+	rack            string
+	free            modeler.Resources // neither held by a run nor allocated or reserved in this plan
+	freeForBackfill modeler.Resources // free for backfill: less only what is reserved firmly
+	futureFree      modeler.Resources // free plus what stopping and nearly done runs release, less reservations
+	avoided         bool
+	suspect         bool             // avoided for tasks that have failed before
+	stopping        bool             // a run is being stopped
+	taskCounts      map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
+	runs            []*assignedRun   // runs on the worker, without stopping and nearly done ones
+	releases        []release        // expected ends of runs, earliest first; nil until computed
+	held            []holding        // free resources that reservations of this plan hold
 }
 
 // groupKey identifies the tasks of one step in one occurrence of a job.
@@ -43,7 +43,7 @@
 	idleAccelerators map[string]int               // by service, neither in use nor allocated or reserved
 	inUse            map[string]int               // by service, weight of what runs hold or this plan has allocated
 	unplaceable      map[fitKey]bool              // demands that did not fit on free resources in this plan
-	overtakingFailed map[fitKey]bool              // demands that did not fit even when they overtook in this plan
+	backfillFailed   map[fitKey]bool              // demands that did not fit even when they overtook in this plan
 	stopped          map[tracker.RunKey]bool      // runs that this plan stops
 
 	searches        int // searches for resources that are not free yet
@@ -70,7 +70,7 @@
 		in:      in,
 		workers: make([]*workerState, 0, len(workers)), workersByName: make(map[string]*workerState, len(workers)),
 		gangs: map[groupKey][]*assignedRun{}, pools: map[poolKey]poolList{}, idleAccelerators: map[string]int{},
-		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, overtakingFailed: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
+		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, backfillFailed: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
 	}
 	b.candidates, b.waits.unrouted = rankJobs(in)
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.candidates))
@@ -92,7 +92,7 @@
 
 func (b *planBuilder) addWorker(worker tracker.Worker, free modeler.Resources) {
 	w := &workerState{
-		info: worker, rack: worker.Profile.Rack(), free: free, freeOvertaking: free, futureFree: free,
+		info: worker, rack: worker.Profile.Rack(), free: free, freeForBackfill: free, futureFree: free,
 		avoided: b.in.Avoided[worker.Name], suspect: b.in.Suspect[worker.Name],
 	}
 	b.workers = append(b.workers, w)
@@ -245,14 +245,14 @@
 	for _, t := range p {
 		b.setFree(t.worker, t.worker.free.Minus(t.need))
 		b.inUse[t.worker.info.Profile.Service] += t.need.Weight()
-		t.worker.freeOvertaking = t.worker.freeOvertaking.Minus(t.need)
+		t.worker.freeForBackfill = t.worker.freeForBackfill.Minus(t.need)
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
 		t.worker.addTask(t.group)
 	}
 }
 
 // reserve takes free or future resources for waiting tasks, so that no demand planned later uses them unless it may
-// overtake.
+// backfill.
 func (b *planBuilder) reserve(p placement) {
 	for _, t := range p {
 		t.worker.futureFree = t.worker.futureFree.Minus(t.need)
@@ -267,7 +267,7 @@
 func (b *planBuilder) reserveFirmly(p placement) {
 	b.reserve(p)
 	for _, t := range p {
-		t.worker.freeOvertaking = minResources(t.worker.freeOvertaking, t.worker.free)
+		t.worker.freeForBackfill = minResources(t.worker.freeForBackfill, t.worker.free)
 	}
 }
 
--- a/internal/planner/headroom.go
+++ b/internal/planner/headroom.go
@@ -8,9 +8,9 @@
 	headroomDivisor = 8
 	// minSlack is the time before its latest start from which a batch job may use the headroom: about one batch task.
 	minSlack timekeeper.Millis = 6000
-	// maxDeferral is the time after its earliest start from which a job may use the headroom and is not overtaken any
-	// more, so that long jobs do not wait for hours beside idle accelerators. It is several times what the users' jobs
-	// take, step after step.
+	// maxDeferral is the time after its earliest start from which a job may use the headroom and its reservation holds
+	// against backfill, so that long jobs do not wait for hours beside idle accelerators. It is several times what the
+	// users' jobs take, step after step.
 	maxDeferral = 5 * timekeeper.Minute
 )
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -16,12 +16,12 @@
 // placement holds the placement of each task of a demand, in the order of its tasks.
 type placement []taskPlacement
 
-// resourceView returns the resources of a worker that a placement may use: currentFree, overtakingFree or futureFree.
+// resourceView returns the resources of a worker that a placement may use: currentFree, backfillFree or futureFree.
 type resourceView func(*workerState) modeler.Resources
 
-func currentFree(w *workerState) modeler.Resources    { return w.free }
-func overtakingFree(w *workerState) modeler.Resources { return w.freeOvertaking }
-func futureFree(w *workerState) modeler.Resources     { return w.futureFree }
+func currentFree(w *workerState) modeler.Resources  { return w.free }
+func backfillFree(w *workerState) modeler.Resources { return w.freeForBackfill }
+func futureFree(w *workerState) modeler.Resources   { return w.futureFree }
 
 // fitKey holds all that decides whether a demand fits. If a demand does not fit, neither does a later one of the same
 // plan with an equal key, since free resources only shrink.
@@ -39,14 +39,14 @@
 	return key, step.MaxPerWorker == 0 && !d.hasFailed()
 }
 
-// placeNow places a demand on resources that are free now: on those that are left to it, or, if it may overtake other
-// jobs, on any.
+// placeNow places a demand on resources that are free now: on those that are left to it, or, if it may backfill, on any
+// that are not reserved firmly.
 func (b *planBuilder) placeNow(d demand) (placement, bool) {
 	p, ok := b.placeFree(d)
-	if ok || !b.mayOvertake(d) {
+	if ok || !b.mayBackfill(d) {
 		return p, ok
 	}
-	return b.placeOvertaking(d)
+	return b.placeBackfill(d)
 }
 
 // placeFree places a demand on resources that are neither reserved nor part of the headroom. It fails at once for a
