--- a/internal/agent/proxy.go
+++ b/internal/agent/proxy.go
@@ -308,15 +308,8 @@
 // It logs when the proxy stops accepting without a leaving announcement: the announcement expired, or StopAccepting was
 // called.
 func (p *Proxy) watchAnnouncements(ctx context.Context) error {
-	ticker := time.NewTicker(AnnouncementTimeout.Duration() / 4)
-	defer ticker.Stop()
 	wasAccepting := false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	timekeeper.Repeat(ctx, AnnouncementTimeout.Duration()/4, func() {
 		b := p.backend.Load()
 		isAccepting := p.accepting(b)
 		if wasAccepting && !isAccepting && b != nil && !b.announcement.Draining {
@@ -326,7 +319,8 @@
 			p.notifyChange()
 		}
 		wasAccepting = isAccepting
-	}
+	})
+	return nil
 }
 
 // attempts records attempts of once-only requests, to start each at most once while its record is kept. mu guards the
--- a/internal/announcer/announcer.go
+++ b/internal/announcer/announcer.go
@@ -80,16 +80,8 @@
 // Nothing is sent while that names no members.
 func (a *Announcer) Announce(ctx context.Context, source func() locator.ReplicaStatus) error {
 	defer a.close()
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.announce(ctx, source())
-		}
-	}
+	timekeeper.Repeat(ctx, announceInterval, func() { a.announce(ctx, source()) })
+	return nil
 }
 
 // announce sends one announcement to each seed that may need it, concurrently, and waits for all.
@@ -174,18 +166,12 @@
 // Refresh keeps a locator up to date until ctx ends. It looks for the leader when the membership has changed, or when no
 // leader has answered for refreshAfter.
 func Refresh(ctx context.Context, l *locator.Locator) error {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	timekeeper.Repeat(ctx, refreshInterval, func() {
 		if l.MembersOutdated() || !l.LeaderAnsweredWithin(refreshAfter) {
 			refresh(ctx, l)
 		}
-	}
+	})
+	return nil
 }
 
 func refresh(ctx context.Context, l *locator.Locator) {
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -36,18 +36,12 @@
 
 // MaintainMembership adapts the membership to the live replicas while this replica leads, until ctx ends.
 func (c *Coordinator) MaintainMembership(ctx context.Context) error {
-	ticker := time.NewTicker(reconcileInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if c.node.Status().Role == replicator.Leader {
-				c.reconcileOnce(ctx)
-			}
+	timekeeper.Repeat(ctx, reconcileInterval, func() {
+		if c.node.Status().Role == replicator.Leader {
+			c.reconcileOnce(ctx)
 		}
-	}
+	})
+	return nil
 }
 
 func (c *Coordinator) reconcileOnce(ctx context.Context) {
@@ -125,25 +119,19 @@
 
 // JoinCluster requests to join whenever this replica knows no leader, as when it is not a member, until ctx ends.
 func (c *Coordinator) JoinCluster(ctx context.Context, l *locator.Locator) error {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
 	joining := false
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	timekeeper.Repeat(ctx, joinInterval, func() {
 		if c.node.Status().Leader != 0 {
 			joining = false
-			continue
+			return
 		}
 		err := c.requestJoin(ctx, l)
 		if !joining {
 			c.log.Log(logger.ReplicaJoining, logger.F("replica", uint64(c.node.ID())), logger.F("address", c.settings.Address), logger.F("error", err))
 		}
 		joining = true
-	}
+	})
+	return nil
 }
 
 func (c *Coordinator) requestJoin(ctx context.Context, l *locator.Locator) error {
--- a/internal/distributor/renewer.go
+++ b/internal/distributor/renewer.go
@@ -49,17 +49,9 @@
 
 // Run sends heartbeats to the leader until ctx ends, then a last one that reports the planned stop.
 func (r *LeaseRenewer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(controller.HeartbeatInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			r.reportStopping()
-			return nil
-		case <-ticker.C:
-			r.renew(ctx)
-		}
-	}
+	timekeeper.Repeat(ctx, controller.HeartbeatInterval.Duration(), func() { r.renew(ctx) })
+	r.reportStopping()
+	return nil
 }
 
 func (r *LeaseRenewer) reportStopping() {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -167,14 +167,7 @@
 
 // monitor logs changes of the readiness of the entry and updates the gauges.
 func (e *entry) monitor(ctx context.Context) error {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	timekeeper.Repeat(ctx, gaugeInterval, func() {
 		e.logReadiness(e.admitter.Ready())
 		s := e.machine.State()
 		e.meter.Gauge("requests_in_flight", float64(e.handler.InFlight()))
@@ -182,7 +175,8 @@
 		e.meter.Gauge("jobs_queued", float64(s.Scheduler.Queued()))
 		e.meter.Gauge("revision_in_force", float64(s.InForce))
 		e.meter.Gauge("request_ids", float64(s.ClaimCount()))
-	}
+	})
+	return nil
 }
 
 func (e *entry) logReadiness(err error) {
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -202,16 +202,8 @@
 
 // endExpiredTasks ends tasks whose run time or lease has expired, until ctx ends.
 func (w *Worker) endExpiredTasks(ctx context.Context) error {
-	ticker := time.NewTicker(expiryCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			w.endExpired(now)
-		}
-	}
+	timekeeper.Repeat(ctx, expiryCheckInterval, func() { w.endExpired(time.Now()) })
+	return nil
 }
 
 func (w *Worker) endExpired(now time.Time) {
