--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -114,7 +114,7 @@
 	if j.fatalErr != nil {
 		return j.fatalErr
 	}
-	record, err := appendRecord(nil, b)
+	record, err := appendRecords(nil, b)
 	if err != nil {
 		return fmt.Errorf("encode batch: %w", err)
 	}
@@ -227,9 +227,9 @@
 	old := j.file
 	oldSequence := j.sequence
 	j.sequence++
-	record, err := appendRecord(nil, Batch{State: j.state, Entries: j.entries})
+	record, err := appendRecords(nil, Batch{State: j.state, Entries: j.entries})
 	if err != nil {
-		return fmt.Errorf("encode first record of segment: %w", err)
+		return fmt.Errorf("encode start of segment: %w", err)
 	}
 	name := fmt.Sprintf(segmentPattern, j.sequence)
 	if err := j.writeFileAtomic(name, record); err != nil {
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -249,6 +249,33 @@
 	return syscall.EIO
 }
 
+// TestManyLargeEntriesAreKept appends more data than one record may hold, at once and over time before a snapshot.
+func TestManyLargeEntriesAreKept(t *testing.T) {
+	large := func(from, count uint64) (list []Entry) {
+		for i := range count {
+			list = append(list, Entry{Index: from + i, Term: 1, Data: make([]byte, 1<<20)})
+		}
+		return list
+	}
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	const half = maxRecordBytes>>20/2 + 4
+	for _, b := range []Batch{{Entries: large(1, 2*half)}, {Entries: large(2*half+1, 1)}} {
+		if err := j.Append(b); err != nil {
+			t.Fatalf("append entries: %v", err)
+		}
+	}
+	if err := j.SaveSnapshot(Snapshot{Index: 3, Term: 1}); err != nil {
+		t.Fatalf("save a snapshot: %v", err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(mustOpen(t, dir).Entries()); got != 2*half+1 {
+		t.Errorf("the reopened journal has %d entries, want %d", got, 2*half+1)
+	}
+}
+
 // FuzzReadAll checks that readAll reads, truncates or refuses arbitrary bytes, and that the batches that it returns are
 // the same after encoding and reading them again.
 func FuzzReadAll(f *testing.F) {
--- a/internal/journaler/record.go
+++ b/internal/journaler/record.go
@@ -51,6 +51,25 @@
 
 var errBadRecord = errors.New("invalid record")
 
+// splitBytes is the size of the data of a batch's entries above which a batch is written as several records.
+const splitBytes = maxRecordBytes / 4
+
+// appendRecords encodes b as one record, or as several if its entries are large.
+func appendRecords(dst []byte, b Batch) ([]byte, error) {
+	size := 0
+	for i, e := range b.Entries {
+		if size += len(e.Data); size <= splitBytes || i == 0 {
+			continue
+		}
+		dst, err := appendRecord(dst, Batch{State: b.State, Entries: b.Entries[:i]})
+		if err != nil {
+			return dst, err
+		}
+		return appendRecords(dst, Batch{State: b.State, Entries: b.Entries[i:]})
+	}
+	return appendRecord(dst, b)
+}
+
 func appendRecord(dst []byte, b Batch) ([]byte, error) {
 	payload, err := encoder.Marshal(b)
 	if err != nil {
