--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -159,8 +159,8 @@
 		if e.Index < j.first {
 			continue
 		}
-		if len(j.entries) == 0 {
-			j.first = e.Index
+		if len(j.entries) == 0 || e.Index > j.first+uint64(len(j.entries)) {
+			j.first, j.entries = e.Index, nil // a snapshot covers what came before
 		}
 		if keep := int(e.Index - j.first); keep < len(j.entries) {
 			j.entries = append([]Entry(nil), j.entries[:keep]...)
@@ -208,6 +208,9 @@
 // compact drops entries that are more than retainedBeforeSnapshot before the snapshot. If the log lacks the snapshot's
 // own entry, it has diverged or is too short, and compact drops all entries.
 func (j *Journal) compact(s Snapshot) {
+	if j.first == s.Index+1 {
+		return
+	}
 	contained := s.Index >= j.first && s.Index-j.first < uint64(len(j.entries))
 	if !contained || j.entries[s.Index-j.first].Term != s.Term {
 		j.entries = nil
@@ -327,8 +330,13 @@
 			return err
 		}
 	}
-	if j.snapshot.Index > 0 {
-		j.compact(j.snapshot)
+	if j.snapshot.Index == 0 {
+		return nil
+	}
+	read := len(j.entries)
+	j.compact(j.snapshot)
+	if read > 0 && len(j.entries) == 0 {
+		return j.rollSegment() // entries that a snapshot replaced must not precede later ones
 	}
 	return nil
 }
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -276,6 +276,55 @@
 	}
 }
 
+// TestEntriesAfterReceivedSnapshotAreKept reopens a journal that took a snapshot from a leader and then appended entries.
+func TestEntriesAfterReceivedSnapshotAreKept(t *testing.T) {
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	if err := j.SaveSnapshot(Snapshot{Index: 50, Term: 2}); err != nil {
+		t.Fatal(err)
+	}
+	want := []Entry{entry(51, 2), entry(52, 2)}
+	if err := j.Append(Batch{State: HardState{Term: 2}, Entries: want}); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, mustOpen(t, dir).Entries()); diff != "" {
+		t.Errorf("acknowledged entries (-want +got):\n%s", diff)
+	}
+}
+
+// TestEntriesAfterInterruptedSnapshotAreKept crashes between the rename of a snapshot and the next segment.
+func TestEntriesAfterInterruptedSnapshotAreKept(t *testing.T) {
+	for _, index := range []uint64{2, 50} {
+		keepAfterInterruptedSnapshot(t, index)
+	}
+}
+
+func keepAfterInterruptedSnapshot(t *testing.T, index uint64) {
+	t.Helper()
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	if err := j.Append(Batch{Entries: []Entry{entry(1, 1), entry(2, 1), entry(3, 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	s := Snapshot{Index: index, Term: 2}
+	if err := j.PrepareSnapshot(s); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(j.pendingSnapshotPath(s), filepath.Join(dir, snapshotFile)); err != nil {
+		t.Fatal(err)
+	}
+	j = mustOpen(t, dir)
+	want := []Entry{entry(index+1, 2), entry(index+2, 2)}
+	for _, e := range want {
+		if err := j.Append(Batch{State: HardState{Term: 2}, Entries: []Entry{e}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(want, mustOpen(t, dir).Entries()); diff != "" {
+		t.Errorf("acknowledged entries (-want +got):\n%s", diff)
+	}
+}
+
 // FuzzReadAll checks that readAll reads, truncates or refuses arbitrary bytes, and that the batches that it returns are
 // the same after encoding and reading them again.
 func FuzzReadAll(f *testing.F) {
