--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -363,6 +363,9 @@
 		return &CorruptError{File: name, Offset: intact}
 	}
 	for _, b := range batches {
+		if !j.continues(b) {
+			return &CorruptError{File: name}
+		}
 		j.replayBatch(b)
 	}
 	if !last {
@@ -387,6 +390,21 @@
 	j.applyBatch(b)
 }
 
+// continues reports whether the entries of a batch are numbered without gaps and follow the entries that were read before
+// them, or those that the snapshot covers.
+func (j *Journal) continues(b Batch) bool {
+	for i, e := range b.Entries {
+		if e.Index == 0 || e.Index != b.Entries[0].Index+uint64(i) {
+			return false
+		}
+	}
+	next := j.snapshot.Index + 1
+	if len(j.entries) > 0 {
+		next = max(next, j.first+uint64(len(j.entries)))
+	}
+	return len(b.Entries) == 0 || b.Entries[0].Index <= next
+}
+
 func (j *Journal) openSegment(name string) error {
 	file, err := os.OpenFile(filepath.Join(j.dir, name), os.O_RDWR, fileMode)
 	if err != nil {
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -325,6 +325,30 @@
 	}
 }
 
+// TestOpenRefusesForeignEntries opens segments whose records are intact but number their entries oddly.
+func TestOpenRefusesForeignEntries(t *testing.T) {
+	for name, b := range map[string]Batch{
+		"zero":  {Entries: []Entry{entry(0, 1)}},
+		"gap":   {Entries: []Entry{entry(9, 1)}},
+		"huge":  {Entries: []Entry{entry(1, 1), entry(1<<63+5, 1)}},
+		"order": {Entries: []Entry{entry(1, 1), entry(1, 1)}},
+	} {
+		dir := t.TempDir()
+		j := mustOpen(t, dir)
+		record, err := appendRecord(nil, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := j.write(record); err != nil {
+			t.Fatal(err)
+		}
+		var corrupt *CorruptError
+		if _, err := Open(dir); !errors.As(err, &corrupt) {
+			t.Errorf("%s: Open returned %v, want a CorruptError", name, err)
+		}
+	}
+}
+
 // FuzzReadAll checks that readAll reads, truncates or refuses arbitrary bytes, and that the batches that it returns are
 // the same after encoding and reading them again.
 func FuzzReadAll(f *testing.F) {
