Bound the bytes of a replication message and of an entry

A follower that misses more than 16 MiB of entries could never catch up: the leader sends 512 entries in one message, the follower's transport refuses messages above 16 MiB, and the leader sends the same again. With all followers of a quorum so, nothing is committed any more. 64 accepted jobs with bodies of 256 KiB, or five configurations of 4 MiB, are enough. A message now holds 4 MiB of entries, or one entry; a proposal that no message can hold is refused before it is appended. Clients receive messages as large as servers do, so a configuration of nearly 4 MiB can be read.

--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -93,8 +93,7 @@
 }
 
 func newGRPC() *grpc.Server {
-	const maxMessage = 16 << 20
-	return grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.MaxRecvMsgSize(maxMessage))
+	return grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.MaxRecvMsgSize(messenger.MaxMessageBytes))
 }
 
 func serveGRPC(server *grpc.Server, listener net.Listener) error {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -20,6 +20,9 @@
 	snapshotMethod = "Snapshot"
 	queueBatches   = 256
 	chunkBytes     = 256 << 10
+
+	// MaxMessageBytes is the largest message that a process of the system receives.
+	MaxMessageBytes = 16 << 20
 )
 
 // envelope holds messages and the sender's address, which a new replica has no other way to learn.
@@ -217,7 +220,7 @@
 func Dial(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.ForceCodec(encoder.Codec{})),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(encoder.Codec{}), grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithUnaryInterceptor(wrapUnsent),
 		grpc.WithStatsHandler(sentRecorder{}))
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -30,11 +30,14 @@
 	ErrNotLeader     = errors.New("this replica is not the leader")
 	ErrChangePending = errors.New("another membership change is in progress")
 	ErrOverloaded    = errors.New("too many uncommitted proposals")
+	ErrTooLarge      = errors.New("the proposal is too large for a message")
 )
 
 const (
 	maxAppendEntries  = 512
 	maxPendingEntries = 8192
+	maxAppendBytes    = 4 << 20  // of the entries of one message, unless it holds one entry alone
+	maxEntryBytes     = 15 << 20 // less than the largest message that a replica receives
 )
 
 // Timing holds the intervals of the protocol. A zero field selects the default.
@@ -206,7 +209,8 @@
 }
 
 // Propose appends an entry to the log and returns its index and term. It returns ErrNotLeader if this replica is not
-// the leader or is transferring leadership, and ErrOverloaded if too many entries are uncommitted.
+// the leader or is transferring leadership, ErrOverloaded if too many entries are uncommitted, and ErrTooLarge for data
+// that no message can hold.
 func (c *Core) Propose(kind uint8, data []byte) (index, term uint64, err error) {
 	if c.role != Leader || c.transferee != 0 {
 		return 0, 0, ErrNotLeader
@@ -214,6 +218,9 @@
 	if c.log.last()-c.commit >= maxPendingEntries {
 		return 0, 0, ErrOverloaded
 	}
+	if len(data) > maxEntryBytes {
+		return 0, 0, ErrTooLarge
+	}
 	e := journaler.Entry{Index: c.log.last() + 1, Term: c.term, Kind: kind, Data: data}
 	c.log.append(e)
 	return e.Index, e.Term, nil
--- a/internal/replicator/lead.go
+++ b/internal/replicator/lead.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
@@ -134,11 +135,21 @@
 		c.sendSnapshot(id, p)
 		return
 	}
-	entries := c.log.slice(p.next-1, c.log.last(), maxAppendEntries)
+	entries := firstBytes(c.log.slice(p.next-1, c.log.last(), maxAppendEntries), maxAppendBytes)
 	c.send(Message{Kind: AppendRequest, To: id, Index: p.next - 1, LogTerm: term, Commit: c.commit, Entries: entries, ReadRound: c.readRound})
 	p.next += uint64(len(entries))
 }
 
+// firstBytes returns the first entries whose data has at most limit bytes, or one entry if that has more.
+func firstBytes(entries []journaler.Entry, limit int) []journaler.Entry {
+	for i, e := range entries {
+		if limit -= len(e.Data); limit < 0 && i > 0 {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // sendSnapshot sends a SnapshotRequest, to which the driver attaches its newest snapshot, at most once per four
 // election timeouts. It always sends a heartbeat as well, so that the follower does not start an election meanwhile.
 func (c *Core) sendSnapshot(id ReplicaID, p *progress) {
