--- a/internal/planner/day_test.go
+++ b/internal/planner/day_test.go
@@ -356,10 +356,14 @@
 	loadsFlag = flag.String("loads", "1.8", "the loads that it simulates, as multiples of an ordinary day, comma-separated")
 )
 
+func allSites() []site {
+	return []site{dvorak, taukvads, klaasiliit, dvorak.grown(), taukvads.large()}
+}
+
 // sites returns the sites selected by -sites.
 func sites() []site {
 	var list []site
-	for _, s := range []site{dvorak, taukvads, klaasiliit, dvorak.grown(), taukvads.large()} {
+	for _, s := range allSites() {
 		if slices.Contains(strings.Split(*sitesFlag, ","), s.name) {
 			list = append(list, s)
 		}
