Ignore replica messages that no replica sends

One damaged or foreign message at a replica's internal port ended the process ('slice bounds out of range', an entry whose index does not follow), or ended elections for good: a term of 2^64-1 was taken over, saved, and sent to the others, and the next campaign began at term 0 ('replica 1 in term follows 0'). It ignores and counts others; the count is logged at most every ten seconds. A membership without voters in the log changes nothing.

--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -22,6 +22,8 @@
 	voterTimeout timekeeper.Millis = 1500
 	// learnerTimeout is how long a learner may be silent before it is removed.
 	learnerTimeout timekeeper.Millis = 10_000
+	// refusalLogInterval is the shortest time between two lines about ignored messages.
+	refusalLogInterval = 10 * timekeeper.Second
 )
 
 // InitialMembership returns the membership of a new cluster: one voter per seed. A voter's ID is derived from the
@@ -36,7 +38,9 @@
 
 // MaintainMembership adapts the membership to the live replicas while this replica leads, until ctx ends.
 func (c *Coordinator) MaintainMembership(ctx context.Context) error {
+	var refusals refusalReport
 	timekeeper.Repeat(ctx, reconcileInterval, func() {
+		c.reportRefusals(&refusals)
 		if c.node.Status().Role == replicator.Leader {
 			c.reconcileOnce(ctx)
 		}
@@ -44,6 +48,23 @@
 	return nil
 }
 
+// refusalReport is the last report of ignored messages.
+type refusalReport struct {
+	count uint64
+	at    timekeeper.Millis
+}
+
+// reportRefusals reports the messages that the replica has ignored since the last report.
+func (c *Coordinator) reportRefusals(last *refusalReport) {
+	refused, now := c.node.Refused(), c.clock.Now()
+	if refused == last.count || last.at != 0 && now-last.at < refusalLogInterval {
+		return
+	}
+	c.meter.Gauge("replica_messages_refused", float64(refused))
+	c.log.Log(logger.MessagesRefused, logger.F("refused", refused-last.count))
+	*last = refusalReport{refused, now}
+}
+
 func (c *Coordinator) reconcileOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -83,6 +83,7 @@
 	RefusalWithheld       = declare(2027, Warning, "refusal withheld", "An earlier attempt of the call may have been taken, so the caller is told that its outcome is not known. Gives the outcome that the call would have had.")
 	JobWaits              = declare(2028, Info, "job waits", "Nothing of the job, or of a long-running task of it, has run for two seconds or more although a step is ready. Gives the cause, the resources that each of the tasks needs that are placed together, and the free share of the service in percent. Causes: `no-room`, `room-reserved` (for the job `holder`), `headroom` (left for urgent work), `parallelism-limit`, `stop-pending` (on `worker`), `queue-unknown`, `workers-avoided` and `workers-unresponsive` (only such workers have room), `not-examined` (too many jobs wait). Written again every five seconds, and when the cause changes.")
 	JobHeldBack           = declare(2029, Warning, "job waits beside free room", "As 2028, while there is room for the job and at least half of the service is free. If it recurs, look at the job `holder`, or for 2025 and silent agents.")
+	MessagesRefused       = declare(2031, Warning, "replica messages ignored", "No replica that works sends such messages: they are damaged, or another program sends them to the internal port. Gives their number since the last such line. Find the sender.")
 )
 
 // Events of entries.
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -66,7 +66,7 @@
 		if e.Kind != EntryMembership {
 			continue
 		}
-		if m, err := decodeMembership(e.Data); err == nil {
+		if m, err := decodeMembership(e.Data); err == nil && m.Voters() > 0 {
 			l.memberships = append(l.memberships, versionedMembership{e.Index, m})
 		}
 	}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -97,6 +97,7 @@
 	snapshotInProgress bool
 	view               atomic.Pointer[view]
 	lastTick           atomic.Int64
+	refused            atomic.Uint64
 	err                error
 }
 
@@ -300,17 +301,26 @@
 
 func (n *Node) stepMessages(m Message) {
 	now := n.clock.Now()
-	n.core.Step(now, m)
+	n.step(now, m)
 	for range maxBatch {
 		select {
 		case m = <-n.inbox:
-			n.core.Step(now, m)
+			n.step(now, m)
 		default:
 			return
 		}
 	}
 }
 
+func (n *Node) step(now timekeeper.Millis, m Message) {
+	if !n.core.Step(now, m) {
+		n.refused.Add(1)
+	}
+}
+
+// Refused returns the number of messages that were ignored because no replica that works sends such ones.
+func (n *Node) Refused() uint64 { return n.refused.Load() }
+
 // handleProposals appends p and a batch of the queued proposals, so that they share one disk write.
 func (n *Node) handleProposals(p proposal) {
 	n.propose(p)
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -5,12 +5,21 @@
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
-// Step processes one message from another replica.
-func (c *Core) Step(now timekeeper.Millis, m Message) {
+// Step processes one message from another replica. It returns false if it ignores the message because no replica that
+// works sends such a one.
+func (c *Core) Step(now timekeeper.Millis, m Message) bool {
 	c.now = max(c.now, now)
 	if m.To != c.id {
-		return // addressed to an earlier identity of this data folder
+		return true // addressed to an earlier identity of this data folder
 	}
+	if !c.plausible(m) {
+		return false
+	}
+	c.step(m)
+	return true
+}
+
+func (c *Core) step(m Message) {
 	if m.Kind == VoteRequest || m.Kind == PreVoteRequest {
 		c.stepVoteRequest(m)
 		return
