Bound the id, the amounts, the times and the names of a job

One accepted odd job could stop everyone. An id of many kilobytes is repeated in each command about a run, so that one plan exceeds what a message or a record holds. A step that names a dependency 100,000 times, as a body of 256 KiB can, costs 2^28 comparisons whenever it is checked, in the leader's plans and once for each start on every replica. Estimates, starts and periods near 2^63 overflow to negative deadlines and due times, and a job due in the far future runs at once. Work saturates. CheckShape keeps what a state needs, for replicas.

--- a/internal/launcher/webserver.go
+++ b/internal/launcher/webserver.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// maxHeaderBytes bounds the header of a request, which log lines repeat in part.
+const maxHeaderBytes = 32 << 10
+
 // WebServer is a role that serves HTTP at one address.
 type WebServer struct {
 	address  string
@@ -22,7 +25,7 @@
 // connection after its next response, so that callers reconnect elsewhere; then it waits for requests in flight.
 func NewWebServer(address string, handler http.Handler, linger time.Duration, group *Group) *WebServer {
 	w := &WebServer{address: address, group: group, linger: linger}
-	w.server = &http.Server{Handler: w.closeWhenStopping(handler), ReadHeaderTimeout: readHeaderTimeout}
+	w.server = &http.Server{Handler: w.closeWhenStopping(handler), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return w
 }
 
--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -104,15 +104,18 @@
 }
 
 // Work returns the sum over the tasks of one occurrence of weight times estimate, in thousandths of a core times
-// milliseconds.
+// milliseconds, or maxWork if that is less.
 func (j Job) Work() int {
-	total := 0
+	total := 0.0
 	for _, s := range j.Steps {
-		total += s.Count * s.Need.Weight() * int(s.Estimate)
+		total += float64(s.Count) * float64(s.Need.Weight()) * float64(s.Estimate)
 	}
-	return total
+	return int(min(total, maxWork))
 }
 
+// maxWork leaves room for sums and small multiples.
+const maxWork = 1 << 56
+
 // CriticalPath returns the length of the critical path: the longest chain of estimates through the job's dependencies.
 // The capacity is that of all workers together. A step that needs more than its expected share of it runs in several
 // waves.
@@ -192,10 +195,17 @@
 	maxTasks       = 4096   // likewise, per step
 	maxOccurrences = 1000   // likewise
 	maxTotalTasks  = 20_000 // likewise, in all steps and occurrences
+	maxIDBytes     = 256    // the id is part of every command about a run
+	maxNameBytes   = 256    // of a label or rack
+	maxAmount      = 1 << 31
+	maxSpan        = 1_000_000_000_000 * timekeeper.Millis(1) // about 30 years; sums of estimates and periods must not overflow
+	maxStart       = 1000 * maxSpan
 )
 
-// Check returns an error if the job is invalid regardless of the cluster.
-func (j Job) Check() error {
+// CheckShape returns an error if no state can hold the job: the numbers of its steps and tasks are out of range, or a
+// step depends on one that does not come before it. Every version must give the same answer, since replicas apply it to
+// commands of the log; further conditions belong into Check.
+func (j Job) CheckShape() error {
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return fmt.Errorf("a job must have 1 to %d steps, got %d", maxSteps, len(j.Steps))
 	}
@@ -204,7 +214,7 @@
 	}
 	tasks := 0
 	for i, s := range j.Steps {
-		if err := s.check(i); err != nil {
+		if err := s.checkShape(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
 		tasks += s.Count
@@ -215,13 +225,10 @@
 	return nil
 }
 
-func (s Step) check(index int) error {
+func (s Step) checkShape(index int) error {
 	if s.Count < 1 || s.Count > maxTasks {
 		return fmt.Errorf("a step must have 1 to %d tasks, got %d", maxTasks, s.Count)
 	}
-	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 {
-		return errors.New("amounts and estimates must not be negative")
-	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			return fmt.Errorf("a step may depend on earlier steps only, got %d", before)
@@ -229,3 +236,38 @@
 	}
 	return nil
 }
+
+// Check returns an error if the job is invalid regardless of the cluster.
+func (j Job) Check() error {
+	if j.ID == "" || len(j.ID) > maxIDBytes {
+		return fmt.Errorf("a job must have an id of 1 to %d bytes, got %d", maxIDBytes, len(j.ID))
+	}
+	if err := j.CheckShape(); err != nil {
+		return err
+	}
+	if j.StartAt < -maxStart || j.StartAt > maxStart || j.Period > maxSpan {
+		return fmt.Errorf("the start and the period must be within %d and %d ms", maxStart, maxSpan)
+	}
+	for i, s := range j.Steps {
+		if err := s.check(); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (s Step) check() error {
+	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 {
+		return errors.New("amounts and estimates must not be negative")
+	}
+	if max(s.Need.MilliCores, s.Need.MemoryMB, s.Need.Accelerators) > maxAmount || s.Estimate > maxSpan {
+		return fmt.Errorf("amounts may be at most %d and estimates %d ms", maxAmount, maxSpan)
+	}
+	if len(s.Label) > maxNameBytes || len(s.DataRack) > maxNameBytes {
+		return fmt.Errorf("names of labels and racks may have at most %d bytes", maxNameBytes)
+	}
+	if len(slices.Compact(slices.Sorted(slices.Values(s.After)))) < len(s.After) {
+		return errors.New("a step may name each step that it depends on once")
+	}
+	return nil
+}
--- a/internal/modeler/modeler_test.go
+++ b/internal/modeler/modeler_test.go
@@ -53,6 +53,7 @@
 		{"too many tasks in all occurrences", Job{Repeat: 1000, Steps: []Step{{Count: 21}}}, "tasks"},
 	}
 	for _, test := range tests {
+		test.job.ID = "j"
 		err := test.job.Check()
 		if (err != nil) != (test.wantErr != "") || err != nil && !strings.Contains(err.Error(), test.wantErr) {
 			t.Errorf("%s: got error %v, want one that contains %q", test.name, err, test.wantErr)
@@ -60,6 +61,27 @@
 	}
 }
 
+// TestLargestJobsDoNotOverflow computes with the largest amounts and times that a valid job may have.
+func TestLargestJobsDoNotOverflow(t *testing.T) {
+	large := Step{Count: maxTasks, Need: Resources{MilliCores: maxAmount, MemoryMB: maxAmount, Accelerators: maxAmount}, Estimate: maxSpan}
+	j := Job{ID: "j", Steps: []Step{large}, StartAt: maxStart, Period: maxSpan, Repeat: 4}
+	for range 3 {
+		next := large
+		next.Count, next.After = 1, []int{len(j.Steps) - 1}
+		j.Steps = append(j.Steps, next)
+	}
+	if err := j.Check(); err != nil {
+		t.Fatal(err)
+	}
+	capacity := large.Need
+	if got := (Queue{Stretch: 10, Target: maxSpan}).Objective(j.CriticalPath(capacity)); got < maxSpan {
+		t.Errorf("objective %v of a long job, want more than %v", got, timekeeper.Millis(maxSpan))
+	}
+	if j.Work() != maxWork || j.Accelerators() < maxAmount || j.DueAt(3) != maxStart+3*maxSpan {
+		t.Errorf("work %d, accelerators %d, last due %d, want no overflow", j.Work(), j.Accelerators(), j.DueAt(3))
+	}
+}
+
 // TestRoutesAndKeys looks up queues by host and path, and workspaces by key.
 func TestRoutesAndKeys(t *testing.T) {
 	c := Configuration{
