Follow the incarnation that the runner itself confirms

What callers saw: after one heartbeat of the runner's id with a start time in the future, after a restart of a runner under its id with an earlier start time (a step of its clock), or after a deregistration of a runner that goes on working (a delayed one of an earlier start), jobs that were assigned to the worker never started.

Cause: the agent believed whatever announcement had the highest start time and sequence number, for good. Its session ended at the first poll, which another incarnation answered, and it attached again at once with the same announcement. Each attachment renewed the lease, so that the leader took the worker as usable. A single high sequence number silenced the runner's own announcements, and a deregistration drained the worker until its next restart.

Now an announcement of another incarnation is a candidate. The agent polls the runner in its name, under the token of the last attachment, and attaches only if the runner answers as that incarnation. What a session finds refuted is forgotten. The leader takes an earlier start time of the same runner if the attachment says that it is confirmed; without that field commands in the log have the effect that they had. A deregistration may name its start, and a runner that has not drained and goes on announcing itself as ready, and answers, is used again. A failed poll after a deregistration ends the runs only if the runner had drained. A listing whose clock went back ends the session, since leases are counted by that clock.

Tests of the executor that announce a runner now have it answer as well; what they check is unchanged.

--- a/internal/executor/doc.go
+++ b/internal/executor/doc.go
@@ -3,6 +3,8 @@
 // lease and reports their ends.
 //
 // Invariants:
+//   - An announcement of another incarnation takes effect only once the runner itself has answered as that one. Until
+//     then the agent follows the one that answered last.
 //   - It sends no start or stop before the runner has seen the fencing token of the attachment.
 //   - It lets the runner discard an end only after the end is committed to the log.
 //   - It reports a run as absent only from a listing that the runner made after every request that could still start
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -19,7 +19,8 @@
 	attachRetryDelay = 100 * time.Millisecond
 )
 
-// Executor is the agent of one runner. It is safe for concurrent use; mu guards announcement and announcedAt.
+// Executor is the agent of one runner. It is safe for concurrent use; mu guards the fields below it, except the
+// channels.
 type Executor struct {
 	worker  string // name of the worker
 	process string // identifies this incarnation of the agent
@@ -28,34 +29,46 @@
 	log     logger.Logger
 	clock   timekeeper.Monotonic
 
+	unconfirmed logger.Throttle // of lines about candidates
+
 	mu           sync.Mutex
-	announcement Announcement
+	announcement Announcement // last one accepted of the current incarnation; zero if there is none
 	announcedAt  timekeeper.Millis
-	changed      chan struct{}
+	confirmed    bool // the runner has confirmed that it is the current incarnation
+	sequence     sequence
+	candidate    Announcement // of an incarnation that the runner has not been asked about yet; zero if there is none
+	candidateAt  timekeeper.Millis
+	epoch        uint64        // of the last attachment; zero if there was none
+	changed      chan struct{} // wakes Run or the running session
+	candidates   chan struct{} // wakes confirmCandidates
 }
 
 // New returns the agent of a worker. The process argument identifies this incarnation of the agent.
 func New(worker, process string, dial Dialer, l *locator.Locator, log logger.Logger) *Executor {
-	return &Executor{worker: worker, process: process, dial: dial, locator: l, log: log, changed: make(chan struct{}, 1)}
+	return &Executor{worker: worker, process: process, dial: dial, locator: l, log: log, changed: make(chan struct{}, 1), candidates: make(chan struct{}, 1)}
 }
 
-// HandleAnnouncement processes an announcement of the runner. It ignores announcements of an earlier incarnation and
-// those that arrive out of order.
+// HandleAnnouncement processes an announcement of the runner. It ignores announcements that arrive out of order. One of
+// another incarnation becomes the candidate, which takes effect once the runner itself confirms it: the announcement may
+// be a delayed one of an earlier incarnation, or come from another sender.
 func (e *Executor) HandleAnnouncement(a Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.announcement
-	if a.Incarnation.StartedAt < old.Incarnation.StartedAt || a.Incarnation == old.Incarnation && a.Sequence < old.Sequence {
+	if a.Incarnation != old.Incarnation || old.disproves(a) {
+		e.candidate, e.candidateAt = a, e.clock.Now()
+		wake(e.candidates)
 		return
 	}
-	if a.Incarnation == old.Incarnation {
-		a.Draining = a.Draining || old.Draining
-		a.Deregistered = old.Deregistered
+	if !e.sequence.accept(a.Sequence) {
+		return
 	}
+	a.Draining = a.Draining || old.Draining
+	a.Deregistered = old.Deregistered
 	e.logChange(old, a)
 	e.announcement, e.announcedAt = a, e.clock.Now()
-	if a.Incarnation != old.Incarnation || a.Draining != old.Draining {
-		e.signal()
+	if a.Draining != old.Draining {
+		wake(e.changed)
 	}
 }
 
@@ -68,22 +81,23 @@
 	}
 }
 
-// Deregister records that the runner with the given id is terminating.
-func (e *Executor) Deregister(id string) {
+// Deregister records that an incarnation of the runner is terminating. A start time of zero stands for any.
+func (e *Executor) Deregister(i tracker.Incarnation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.announcement.Incarnation.ID != id || e.announcement.Deregistered {
+	current := e.announcement
+	if current.Incarnation.ID != i.ID || i.StartedAt != 0 && i.StartedAt != current.Incarnation.StartedAt || current.Deregistered {
 		return
 	}
-	e.announcement.Draining, e.announcement.Deregistered = true, true
-	e.log.Log(logger.RunnerDeregistered, logger.F("runner", id))
-	e.signal()
+	e.announcement.Deregistered = true
+	e.log.Log(logger.RunnerDeregistered, logger.F("runner", i.ID))
+	wake(e.changed)
 }
 
-// signal wakes Run or the running session. The caller holds mu.
-func (e *Executor) signal() {
+// wake wakes the receiver of a channel with a buffer of one.
+func wake(c chan<- struct{}) {
 	select {
-	case e.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -97,6 +111,12 @@
 
 // Run attaches to the leader on behalf of each incarnation of the runner in turn. It returns when ctx is done.
 func (e *Executor) Run(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		e.confirmCandidates(ctx)
+	}()
+	defer func() { <-ended }()
 	for ctx.Err() == nil {
 		a, arrived := e.lastAnnouncement()
 		if a.Incarnation.ID == "" || a.Deregistered {
@@ -124,14 +144,18 @@
 	call, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
 	r := &coordinator.AttachRequest{Attach: tracker.Attach{
-		Worker: e.worker, Incarnation: a.Incarnation, AgentProcess: e.process, Profile: a.Profile, Draining: a.Draining,
+		Worker: e.worker, Incarnation: a.Incarnation, AgentProcess: e.process, Profile: a.Profile, Draining: a.Draining, Confirmed: e.isConfirmed(a.Incarnation),
 	}}
 	answer, err := locator.Call[coordinator.AttachRequest, coordinator.AttachResponse](call, e.locator, coordinator.MethodAttach, locator.Limits{}, r)
 	if err != nil || !answer.Accepted {
 		e.log.Log(logger.AttachmentLost, logger.F("runner", a.Incarnation.ID), logger.F("refused", err == nil), logger.F("error", err))
+		if err == nil {
+			e.refute(a.Incarnation) // the next announcement starts over
+		}
 		sleep(ctx, attachRetryDelay)
 		return 0, false
 	}
+	e.setEpoch(answer.Epoch)
 	e.log.Log(logger.RunnerAttached, logger.F("runner", a.Incarnation.ID), logger.F("born", int(a.Incarnation.StartedAt)), logger.F("epoch", answer.Epoch))
 	return answer.Epoch, true
 }
--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -65,12 +65,19 @@
 	case r.err != nil:
 		s.handlePollFailure(r.err)
 		return
-	case r.verdict == VerdictFenced, r.verdict == VerdictWrongRunner, r.listing.Incarnation.StartedAt != 0 && r.listing.Incarnation.StartedAt != s.incarnation.StartedAt:
-		s.detach("the runner was replaced or restarted, or has seen a higher fencing token")
+	case r.verdict == VerdictFenced:
+		s.detach("the runner has seen a higher fencing token")
+		return
+	case r.verdict == VerdictWrongRunner, r.verdict == VerdictDone && !r.listing.isOf(s.incarnation):
+		s.agent.refute(s.incarnation)
+		s.detach("the runner is another incarnation")
 		return
 	case r.verdict != VerdictDone:
 		s.handlePollFailure(nil)
 		return
+	case s.answeredPoll > 0 && r.listing.Clock < s.clock.value:
+		s.detach("the runner's clock went back") // a lease must not be computed from either reading
+		return
 	}
 	s.failedPolls = 0
 	s.answeredPoll = r.serial
@@ -85,9 +92,7 @@
 		s.agent.log.Log(logger.RunnerCallFailed, logger.F("call", "hold"), logger.F("runner", s.incarnation.ID), logger.F("error", err))
 	}
 	if a, _ := s.agent.lastAnnouncement(); a.Deregistered {
-		s.agent.mu.Lock()
-		s.agent.signal()
-		s.agent.mu.Unlock()
+		wake(s.agent.changed)
 	}
 }
 
--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -19,6 +19,12 @@
 	Clock         timekeeper.Millis // the runner's clock when it sent the announcement
 }
 
+// disproves reports whether a, a later announcement of the same incarnation, shows that the runner has not terminated
+// although it was deregistered. A runner that terminates drains before.
+func (old Announcement) disproves(a Announcement) bool {
+	return old.Deregistered && !old.Draining && !a.Draining && a.Sequence > old.Sequence
+}
+
 // Verdict is the outcome of a request to a runner.
 type Verdict uint8
 
@@ -64,6 +70,12 @@
 	Finished    []tracker.End
 }
 
+// isOf reports whether an incarnation has made the listing. A listing without a start time is taken as one of the
+// incarnation that was asked.
+func (l Listing) isOf(i tracker.Incarnation) bool {
+	return l.Incarnation.StartedAt == 0 || l.Incarnation.StartedAt == i.StartedAt
+}
+
 // PollRequest renews the lease, acknowledges ends and asks for a listing. Epoch is the fencing token.
 type PollRequest struct {
 	Epoch        uint64
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -52,6 +52,7 @@
 	pollResults                  chan pollResult
 	reportResults                chan reportResult
 	callResults                  chan callResult
+	deregistered                 bool // the runner was deregistered when it was last looked at
 	closed                       bool
 }
 
@@ -160,17 +161,19 @@
 
 func (s *session) draining() bool {
 	a, _ := s.agent.lastAnnouncement()
-	return a.Incarnation == s.incarnation && a.Draining
+	return a.Incarnation == s.incarnation && (a.Draining || a.Deregistered)
 }
 
-// handleChange closes the session when the runner has restarted, or has deregistered and no longer responds.
+// handleChange closes the session when the runner has restarted, has deregistered and no longer responds, or is in use
+// again although it was deregistered.
 func (s *session) handleChange(ctx context.Context) {
 	a, _ := s.agent.lastAnnouncement()
-	if a.Incarnation != s.incarnation {
+	if a.Incarnation != s.incarnation || s.deregistered && !a.Deregistered {
 		s.closed = true
 		return
 	}
-	if a.Deregistered && s.failedPolls > 0 {
+	s.deregistered = a.Deregistered
+	if a.Deregistered && a.Draining && s.failedPolls > 0 { // a failed poll alone does not show that the runner has ended
 		s.deregister(ctx)
 	}
 }
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -60,6 +60,13 @@
 	return Listing{}, VerdictDone, nil
 }
 
+// confirm announces an incarnation to the agent and has the runner answer as that one.
+func confirm(agent *Executor, a Announcement) {
+	agent.HandleAnnouncement(a)
+	candidate, arrived, _ := agent.takeCandidate()
+	agent.resolve(candidate, arrived, Listing{Incarnation: a.Incarnation}, VerdictDone, nil)
+}
+
 // newTestSession returns a session whose runner has seen the fencing token and answered the first poll with listing.
 func newTestSession(t *testing.T, runner *fakeRunner, listing Listing) *session {
 	t.Helper()
@@ -67,7 +74,7 @@
 	t.Cleanup(l.Close)
 	agent := New("w", "p", func(Announcement) Runner { return runner }, l, logger.Logger{})
 	a := Announcement{Incarnation: tracker.Incarnation{ID: "i", StartedAt: 7}}
-	agent.HandleAnnouncement(a)
+	confirm(agent, a)
 	s := newSession(agent, a, 0, 5)
 	s.sentPolls, s.polling = 1, true
 	listing.Incarnation = a.Incarnation
@@ -175,7 +182,7 @@
 func TestStaleAnnouncementsAreIgnored(t *testing.T) {
 	agent := New("w", "p", nil, nil, logger.Logger{})
 	incarnation := tracker.Incarnation{ID: "i", StartedAt: 7}
-	agent.HandleAnnouncement(Announcement{Incarnation: incarnation, Sequence: 3, Draining: true})
+	confirm(agent, Announcement{Incarnation: incarnation, Sequence: 3, Draining: true})
 	agent.HandleAnnouncement(Announcement{Incarnation: incarnation, Sequence: 2})
 	agent.HandleAnnouncement(Announcement{Incarnation: tracker.Incarnation{ID: "i", StartedAt: 6}, Sequence: 9})
 	agent.HandleAnnouncement(Announcement{Incarnation: incarnation, Sequence: 4})
--- a/internal/executor/simworker_test.go
+++ b/internal/executor/simworker_test.go
@@ -69,6 +69,7 @@
 	if w.sim.now%simHeartbeat == 0 && w.drawFate() == fateDelivered {
 		w.announce()
 	}
+	w.confirmCandidate()
 	a, _ := w.agent.lastAnnouncement()
 	if w.session == nil || w.session.closed {
 		w.attach(a)
@@ -91,6 +92,20 @@
 	})
 }
 
+// confirmCandidate asks the runner about the announced incarnation, if it is not the current one.
+func (w *simWorker) confirmCandidate() {
+	a, arrived, epoch := w.agent.takeCandidate()
+	if a.Incarnation.ID == "" || w.frozen() {
+		return // the next heartbeat repeats it
+	}
+	if a.Incarnation.ID != w.runner.incarnation.ID {
+		w.agent.resolve(a, arrived, Listing{}, VerdictWrongRunner, nil)
+		return
+	}
+	verdict := w.runner.renew(PollRequest{Epoch: epoch})
+	w.agent.resolve(a, arrived, w.runner.listing(), verdict, nil)
+}
+
 // leaderFate draws what becomes of a call to the leader.
 func (w *simWorker) leaderFate() fate {
 	if w.sim.now < w.sim.leaderlessUntil {
@@ -105,10 +120,11 @@
 		return
 	}
 	answer := w.sim.apply(tracker.Command{Attach: &tracker.Attach{
-		Worker: w.name, Incarnation: a.Incarnation, AgentProcess: w.agent.process, Profile: a.Profile, Draining: a.Draining,
+		Worker: w.name, Incarnation: a.Incarnation, AgentProcess: w.agent.process, Profile: a.Profile, Draining: a.Draining, Confirmed: w.agent.isConfirmed(a.Incarnation),
 	}})
 	w.leaseExpiry = w.sim.now + simLease + simLeaseMargin
 	if fate == fateDelivered && answer.Code == tracker.Accepted {
+		w.agent.setEpoch(answer.Epoch)
 		w.session, w.pending = newSession(w.agent, a, w.sim.now, answer.Epoch), nil
 	}
 }
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -127,6 +127,8 @@
 	ReplicasReceived    = declare(4024, Info, "replica addresses received", "Another process announced the control replicas. Gives the leader, the term, the revision of the membership and the addresses.")
 	LeaderLost          = declare(4022, Warning, "control leader lost", "No control replica answers as leader. Gives the time since the last answer of a leader.")
 	AnnouncementInvalid = declare(4023, Warning, "invalid announcement", "The announcement of a runner was acknowledged but ignored. Gives the reason.")
+
+	CandidateUnconfirmed = declare(4025, Warning, "announced runner not confirmed", "An announcement named another incarnation of the runner, but the runner did not answer as that one; the announcement is ignored. It was delayed, or came from another sender. If it recurs for a runner that works, check the runner.")
 )
 
 // Events of the platform's processes: callers' requests, configuration and settings.
--- a/internal/tracker/apply.go
+++ b/internal/tracker/apply.go
@@ -74,10 +74,11 @@
 
 func (s *State) attach(a Attach) (Code, uint64) {
 	w, known := s.workers.Get(a.Worker)
-	if known && w.Incarnation.ID == a.Incarnation.ID && a.Incarnation.StartedAt < w.Incarnation.StartedAt {
+	if known && w.Incarnation.ID == a.Incarnation.ID && a.Incarnation.StartedAt < w.Incarnation.StartedAt && !a.Confirmed {
 		return Stale, 0
 	}
-	if known && w.Incarnation == a.Incarnation && w.AgentProcess == a.AgentProcess && !w.Detached {
+	drainRevoked := w.Draining && !a.Draining && a.Confirmed
+	if known && w.Incarnation == a.Incarnation && w.AgentProcess == a.AgentProcess && !w.Detached && !drainRevoked {
 		return Accepted, w.Epoch
 	}
 	if w.Incarnation != a.Incarnation {
--- a/internal/tracker/command.go
+++ b/internal/tracker/command.go
@@ -26,13 +26,15 @@
 
 // Attach makes an agent process the one that controls a worker. An attachment by another agent process, or for another
 // incarnation of the runner, or to a detached worker, raises the epoch. The worker keeps its runs until the agent has
-// fenced requests of earlier epochs and reported the runs that no longer exist.
+// fenced requests of earlier epochs and reported the runs that no longer exist. Unless the incarnation is confirmed, an
+// attachment for an earlier incarnation of the same runner is stale.
 type Attach struct {
 	Worker       string      `cbor:"1,keyasint"`
 	Incarnation  Incarnation `cbor:"2,keyasint"`
 	AgentProcess string      `cbor:"3,keyasint"`
 	Profile      Profile     `cbor:"4,keyasint"`
 	Draining     bool        `cbor:"5,keyasint,omitempty"`
+	Confirmed    bool        `cbor:"6,keyasint,omitempty"` // the runner itself has answered as this incarnation
 }
 
 // Detach marks a worker as running nothing because its runner has left or its lease has ended.
