Check every field of an announcement before the agent uses it

Cause: only the id, the service, the address and the state were looked at. What else was in the document became the worker's profile, and the leader replicated it.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -18,6 +18,10 @@
 		return &AttachResponse{Reply: c.notLeader()}, nil
 	}
 	a := r.Attach
+	if err := a.Check(); err != nil {
+		c.log.Log(logger.WorkerAttached, logger.F("worker", a.Worker), logger.F("accepted", false), logger.F("error", err))
+		return &AttachResponse{Reply: c.reply()}, nil
+	}
 	answer, err := c.propose(ctx, tracker.Command{Attach: &a})
 	if err != nil {
 		return &AttachResponse{Reply: c.notLeader()}, nil
--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
@@ -19,6 +20,17 @@
 	Clock         timekeeper.Millis // the runner's clock when it sent the announcement
 }
 
+// Check returns an error if a field is out of range.
+func (a Announcement) Check() error {
+	if a.Sequence < 0 || a.Sequence > maxSequence {
+		return errors.New("the sequence number is out of range")
+	}
+	return (tracker.Attach{Worker: a.Incarnation.ID, Incarnation: a.Incarnation, Profile: a.Profile}).Check()
+}
+
+// maxSequence is far above what a runner reaches, so that differences of sequence numbers do not overflow.
+const maxSequence = 1 << 53
+
 // disproves reports whether a, a later announcement of the same incarnation, shows that the runner has not terminated
 // although it was deregistered. A runner that terminates drains before.
 func (old Announcement) disproves(a Announcement) bool {
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -126,7 +126,7 @@
 	LeaderFound         = declare(4021, Info, "control leader found", "Gives its address.")
 	ReplicasReceived    = declare(4024, Info, "replica addresses received", "Another process announced the control replicas. Gives the leader, the term, the revision of the membership and the addresses.")
 	LeaderLost          = declare(4022, Warning, "control leader lost", "No control replica answers as leader. Gives the time since the last answer of a leader.")
-	AnnouncementInvalid = declare(4023, Warning, "invalid announcement", "The announcement of a runner was acknowledged but ignored. Gives the reason.")
+	AnnouncementInvalid = declare(4023, Warning, "invalid announcement", "The announcement of a runner was acknowledged but ignored. Gives the reason, and how many more were ignored since the line before: there is one line every five seconds at most.")
 
 	CandidateUnconfirmed = declare(4025, Warning, "announced runner not confirmed", "An announcement named another incarnation of the runner, but the runner did not answer as that one; the announcement is ignored. It was delayed, or came from another sender. If it recurs for a runner that works, check the runner.")
 )
--- a/internal/tracker/command.go
+++ b/internal/tracker/command.go
@@ -1,6 +1,10 @@
 package tracker
 
 import (
+	"errors"
+	"fmt"
+	"slices"
+
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
@@ -37,6 +41,35 @@
 	Confirmed    bool        `cbor:"6,keyasint,omitempty"` // the runner itself has answered as this incarnation
 }
 
+// Bounds of an attachment.
+const (
+	maxNameBytes    = 256
+	maxLabels       = 64
+	maxStartedAt    = 1 << 53
+	maxMilliCores   = 10_000_000 // ten thousand cores
+	maxMemoryMB     = 1 << 30
+	maxAccelerators = 4096
+)
+
+// Check returns an error if the attachment would bring unbounded values into the state.
+func (a Attach) Check() error {
+	if a.Worker == "" || a.Incarnation.ID == "" {
+		return errors.New("the worker or the runner has no name")
+	}
+	if a.Incarnation.StartedAt < 0 || a.Incarnation.StartedAt > maxStartedAt {
+		return errors.New("the start time is out of range")
+	}
+	names := append([]string{a.Worker, a.Incarnation.ID, a.AgentProcess, a.Profile.Service, a.Profile.Zone}, a.Profile.Labels...)
+	if len(a.Profile.Labels) > maxLabels || slices.ContainsFunc(names, func(name string) bool { return len(name) > maxNameBytes }) {
+		return fmt.Errorf("there are more than %d labels, or a name has more than %d bytes", maxLabels, maxNameBytes)
+	}
+	c := a.Profile.Capacity
+	if c.MilliCores < 0 || c.MilliCores > maxMilliCores || c.MemoryMB < 0 || c.MemoryMB > maxMemoryMB || c.Accelerators < 0 || c.Accelerators > maxAccelerators {
+		return errors.New("the capacity is out of range")
+	}
+	return nil
+}
+
 // Detach marks a worker as running nothing because its runner has left or its lease has ended.
 type Detach struct {
 	Worker      string       `cbor:"1,keyasint"`
