Let a job backfill with one of its steps at a time

A job of which nothing runs may take room that is kept for others, with one task, so that it doesn't stand. With several steps ready it took that room once for each, since the planner looked at the runs before the plan alone. Now a candidate remembers that the plan starts a task of it. TestOneStepOfAJobBackfills failed before: two workers in place of one.

--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -5,14 +5,14 @@
 const idleServiceDivisor = 2
 
 // mayBackfill reports whether a demand may backfill: use headroom, room that is reserved for jobs before it unless the
-// reservation is firm, and workers that its tasks would else keep clear of. It may if nothing of its job ran before this
-// plan and its service is mostly idle: a job that waits then lacks room in a few places only, and those behind it must not
-// stand beside idle workers. Long-running tasks may on any service.
+// reservation is firm, and workers that its tasks would else keep clear of. It may if nothing of its job runs or is started
+// by this plan, and its service is mostly idle: a job that waits then lacks room in a few places only, and those behind it
+// must not stand beside idle workers. Long-running tasks may on any service.
 func (b *planBuilder) mayBackfill(d demand) bool {
 	if d.step.LongRunning {
 		return true
 	}
-	if d.planned > 0 || b.inUse[d.queue.Service]*idleServiceDivisor >= d.capacity.Weight() {
+	if d.planned > 0 || d.started || b.inUse[d.queue.Service]*idleServiceDivisor >= d.capacity.Weight() {
 		return false
 	}
 	running, _ := b.activity(&d.job)
--- a/internal/planner/backfill_test.go
+++ b/internal/planner/backfill_test.go
@@ -152,6 +152,16 @@
 	}
 }
 
+// TestOneStepOfAJobBackfills guards against a job that takes room that is kept for others once for each of its ready steps.
+func TestOneStepOfAJobBackfills(t *testing.T) {
+	sim := newWideGangWaits(t, 7)
+	sim.submit("behind", "plans", "other", 5000, tasks(1, 8, 5000), tasks(1, 8, 5000))
+	sim.run(300, nil)
+	if workers := assignedTo(sim.state, "behind"); len(workers) != 1 {
+		t.Errorf("the job behind the wide gang runs on %v, want one worker", workers)
+	}
+}
+
 // TestPreemptedRoomIsNotBackfilled guards against batch jobs, new ones or those that were stopped, that take workers for
 // which an urgent gang within its guarantee waits.
 func TestPreemptedRoomIsNotBackfilled(t *testing.T) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -85,6 +85,7 @@
 			return
 		}
 		b.allocate(p)
+		d.started = true
 		plan.Starts = append(plan.Starts, b.start(d, key, d.nextAttempt(key), p[0]))
 	}
 }
@@ -113,6 +114,7 @@
 		return
 	}
 	b.allocate(p)
+	d.started = true
 	attempt := 0
 	for _, key := range d.tasks {
 		attempt = max(attempt, d.nextAttempt(key))
--- a/internal/planner/rank.go
+++ b/internal/planner/rank.go
@@ -38,6 +38,7 @@
 	capacity      modeler.Resources // total of all workers of the queue's service
 	criticalPath  timekeeper.Millis // time of the longest chain of dependent steps
 	orderTime     timekeeper.Millis // order among jobs of the same rank, lowest first
+	started       bool              // this plan starts a task of the job
 }
 
 // latestStart returns the latest time at which the job can start and still meet its objective, by estimate.
