Refuse a job in the log that the state cannot hold

A submit command with an odd job, as another program or a damaged process may put into the log, stopped every replica alike, and again at each replay: a negative number of tasks panics, a repeat count near 2^63 runs out of memory. An end of an unknown kind was committed and then ended the leader, in the name of the kind for the log; the agent repeats its report, so that the next leader ended too. The state now refuses such a job with Invalid, on all replicas alike, by CheckShape, which was checked on the way in alone. Names of kinds and phases are total. TestOddCommandsEndNoReplica failed before: it hung for 10 min in newJob. TestUndecodableCommandIsInvalid called a job without steps valid; its job has one now and all that it asserts is unchanged.

--- a/internal/tracker/apply.go
+++ b/internal/tracker/apply.go
@@ -15,7 +15,7 @@
 	case c.Configure != nil:
 		s.configure(*c.Configure)
 	case c.Submit != nil:
-		s.submit(*c.Submit)
+		answer.Code = s.submit(*c.Submit)
 	case c.Cancel != nil:
 		answer.Code = s.cancel(*c.Cancel)
 	case c.Attach != nil:
@@ -46,11 +46,16 @@
 	s.Configuration = c
 }
 
-// submit adds a job unless a job with its id exists, so that a repeated submission has no effect.
-func (s *State) submit(j modeler.Job) {
+// submit adds a job unless a job with its id exists, so that a repeated submission has no effect. It refuses a job that
+// the state cannot hold, whatever process put it into the log.
+func (s *State) submit(j modeler.Job) Code {
+	if j.CheckShape() != nil {
+		return Invalid
+	}
 	if _, known := s.jobs.Get(j.ID); !known {
 		s.putJob(newJob(j))
 	}
+	return Accepted
 }
 
 func (s *State) cancel(c Cancel) Code {
--- a/internal/tracker/command.go
+++ b/internal/tracker/command.go
@@ -105,7 +105,11 @@
 
 // String returns the name of the kind that logs use.
 func (k EndKind) String() string {
-	return [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "unbegun"}[k]
+	names := [...]string{"unknown", "done", "failed", "stopped", "lapsed", "broken", "alone", "unbegun"}
+	if int(k) >= len(names) {
+		return names[0]
+	}
+	return names[k]
 }
 
 // End is the end of one run. Number is the sequence number of the end in the runner's listing, or zero for an end that
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -81,7 +81,11 @@
 
 // String returns the name of the phase in the public API.
 func (p JobPhase) String() string {
-	return [...]string{"queued", "running", "done", "failed", "cancelled"}[p]
+	names := [...]string{"queued", "running", "done", "failed", "cancelled"}
+	if int(p) >= len(names) {
+		return "unknown"
+	}
+	return names[p]
 }
 
 // Ended reports whether the phase is final.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -323,7 +323,7 @@
 	if answer := m.Apply(1, []byte{0xff}).(Answer); answer.Code != Invalid {
 		t.Errorf("got code %d, want %d", answer.Code, Invalid)
 	}
-	data, err := encoder.Marshal(Command{Submit: &modeler.Job{ID: "j"}})
+	data, err := encoder.Marshal(Command{Submit: &modeler.Job{ID: "j", Steps: []modeler.Step{{Count: 1}}}})
 	if err != nil {
 		t.Fatal(err)
 	}
