Bound the time for which a job stands beside room

Callers saw jobs with nothing running for more than 3 s beside room for their next task twice over. Headroom and reservations held the room; they gave way only while less than half of the service was in use by weight, which a service with busy accelerators and idle cores isn't. Lifting them for all jobs at once costs the work that they protect.

Now the leader records since when each job has stood beside room for its next task, or its whole gang, twice over. A new leader takes jobs beside room to have stood long enough.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -104,7 +104,7 @@
 	now := c.clock.Now()
 	state := c.machine.State()
 	in := c.observer.plannerInput(state, now)
-	in.Now, in.Unresponsive = c.wall.Now(), c.unresponsiveWorkers(state, now)
+	in.Now, in.Unresponsive, in.Standing = c.wall.Now(), c.unresponsiveWorkers(state, now), c.waits.standing(now)
 	decision := planner.Decide(in)
 	plan := decision.Assign
 	c.meter.Observe("plan_time", "", "", time.Since(started))
--- a/internal/coordinator/waits.go
+++ b/internal/coordinator/waits.go
@@ -33,6 +33,8 @@
 	loggedAt timekeeper.Millis // zero if no line has been written
 	logged   planner.Cause
 	present  bool // the job waits, or starts, after the plan that is being recorded
+	// besideSince is when the job began to stand beside room; zero if it does not.
+	besideSince timekeeper.Millis
 }
 
 // due reports whether a line about the wait is due.
@@ -61,13 +63,27 @@
 	reportedAt timekeeper.Millis
 }
 
-// record updates the waits after a plan. It drops jobs that neither wait nor are to start.
+// standing returns for how long jobs have stood beside room.
+func (r *waitRecorder) standing(now timekeeper.Millis) map[modeler.JobID]timekeeper.Millis {
+	standing := map[modeler.JobID]timekeeper.Millis{}
+	for id, w := range r.jobs {
+		if w.besideSince != 0 {
+			standing[id] = now - w.besideSince
+		}
+	}
+	return standing
+}
+
+// record updates the waits after a plan. It drops jobs that neither wait nor are to start. A job that stands beside room in
+// the first plan of a term is taken to have done so for as long as it may, since it is not known for how long it has.
 func (r *waitRecorder) record(now timekeeper.Millis, waits []planner.Wait, starts []tracker.Start) {
+	besideSince := now
 	if r.jobs == nil {
 		r.jobs = map[modeler.JobID]*jobWait{}
+		besideSince -= planner.StandingLimit
 	}
 	for _, w := range waits {
-		r.recordWait(now, w)
+		r.recordWait(now, w).recordRoom(w.RoomTwice, besideSince)
 	}
 	for _, s := range starts {
 		if known := r.jobs[s.Run.Task.Job]; known != nil {
@@ -84,7 +100,7 @@
 
 // recordWait updates the wait of one job. A cause that was found earlier is kept while the planner has not examined the
 // job again.
-func (r *waitRecorder) recordWait(now timekeeper.Millis, w planner.Wait) {
+func (r *waitRecorder) recordWait(now timekeeper.Millis, w planner.Wait) *jobWait {
 	known := r.jobs[w.Job]
 	if known == nil {
 		known = &jobWait{since: now}
@@ -94,6 +110,16 @@
 	if w.Cause != planner.CauseNotExamined || known.Job == "" {
 		known.Wait = w
 	}
+	return known
+}
+
+// recordRoom updates since when the job stands beside room: since the given time if it has just begun.
+func (w *jobWait) recordRoom(beside bool, since timekeeper.Millis) {
+	if !beside {
+		w.besideSince = 0
+	} else if w.besideSince == 0 {
+		w.besideSince = since
+	}
 }
 
 // end forgets a job that has started, and returns how long it has waited.
--- a/internal/coordinator/waits_test.go
+++ b/internal/coordinator/waits_test.go
@@ -127,6 +127,39 @@
 	}
 }
 
+// TestStandingTimeCountsFromRoom guards against a job that stands anew with each change of leader, and one that takes
+// reserved room at once for having waited without any.
+func TestStandingTimeCountsFromRoom(t *testing.T) {
+	noRoom, room := waiting("a", planner.CauseNoRoom), waiting("a", planner.CauseReserved)
+	room.RoomTwice = true
+	standing := func(plans ...[]planner.Wait) []timekeeper.Millis {
+		var r waitRecorder
+		var times []timekeeper.Millis
+		for i, waits := range plans {
+			now := timekeeper.Minute + 100*timekeeper.Millis(i)
+			r.record(now, waits, nil)
+			times = append(times, r.standing(now)["a"])
+		}
+		return times
+	}
+	one := func(w planner.Wait) []planner.Wait { return []planner.Wait{w} }
+	tests := []struct {
+		name      string
+		got, want []timekeeper.Millis
+	}{
+		{"since the first plan with room", standing(one(noRoom), one(room), one(room)), []timekeeper.Millis{0, 0, 100}},
+		{"anew after a plan without room", standing(nil, one(room), one(room), one(noRoom), one(room)), []timekeeper.Millis{0, 0, 100, 0, 0}},
+		{"since long ago in a new term", standing(one(room), one(room)), []timekeeper.Millis{planner.StandingLimit, planner.StandingLimit + 100}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, test.got); diff != "" {
+				t.Errorf("times (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestWaitReportsAreBounded lets many jobs wait. One report must have maxWaitLines at most, those of jobs with room
 // first, and count all; the other jobs follow in later reports.
 func TestWaitReportsAreBounded(t *testing.T) {
--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -5,14 +5,20 @@
 const idleServiceDivisor = 2
 
 // mayBackfill reports whether a demand may backfill: use headroom, room that is reserved for jobs before it unless the
-// reservation is firm, and workers that its tasks would else keep clear of. It may if nothing of its job runs or is started
-// by this plan, and its service is mostly idle: a job that waits then lacks room in a few places only, and those behind it
-// must not stand beside idle workers. Long-running tasks may on any service.
+// reservation is firm, and workers that its tasks would else keep clear of. It may if its service is mostly idle: a job
+// that waits then lacks room in a few places only, and those behind it must not stand beside idle workers. Long-running
+// tasks may on any service.
 func (b *planBuilder) mayBackfill(d demand) bool {
+	return d.step.LongRunning || b.inUse[d.queue.Service]*idleServiceDivisor < d.capacity.Weight()
+}
+
+// mayOvertake reports whether a demand may use room that is kept for others: nothing of its job runs or is started by
+// this plan, or it is a long-running task.
+func (b *planBuilder) mayOvertake(d demand) bool {
 	if d.step.LongRunning {
 		return true
 	}
-	if d.planned > 0 || d.started || b.inUse[d.queue.Service]*idleServiceDivisor >= d.capacity.Weight() {
+	if d.planned > 0 || d.started {
 		return false
 	}
 	running, _ := b.activity(&d.job)
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -44,6 +44,8 @@
 	inUse            map[string]int               // by service, weight of what runs hold or this plan has allocated
 	unplaceable      map[fitKey]bool              // demands that did not fit on free resources in this plan
 	backfillFailed   map[fitKey]bool              // demands that did not fit even when they overtook in this plan
+	room             map[roomKey]int              // tasks that fit on the workers before the plan, by what was counted
+	roomTaken        map[fitKey]bool              // demands that no longer fit twice over in this plan
 	stopped          map[tracker.RunKey]bool      // runs that this plan stops
 
 	searches        int // searches for resources that are not free yet
@@ -70,7 +72,7 @@
 		in:      in,
 		workers: make([]*workerState, 0, len(workers)), workersByName: make(map[string]*workerState, len(workers)),
 		gangs: map[groupKey][]*assignedRun{}, pools: map[poolKey]poolList{}, idleAccelerators: map[string]int{},
-		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, backfillFailed: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
+		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, backfillFailed: map[fitKey]bool{}, room: map[roomKey]int{}, roomTaken: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
 	}
 	b.candidates, b.waits.unrouted = rankJobs(in)
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.candidates))
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -6,9 +6,11 @@
 // urgent jobs within their workspace's guarantee come first; a job preempts only runs of jobs that rank behind it; a
 // gang starts all its members in one plan or none.
 //
-// While less than half of a service is in use, no job of which nothing runs waits for free resources that are only kept
-// for others: as headroom, or by a reservation that is not firm. Those for which runs are being stopped are firm, and
-// those of jobs that have waited for minutes.
+// No job of which nothing runs stands for longer than StandingLimit beside free resources that hold its next demand twice
+// over, whatever keeps them from it: headroom, reservations, doubts about workers, or a gang's wish for one rack. It then
+// starts one task, or one gang. While less than half of a service is in use it does not wait that long for resources that
+// are kept as headroom or by a reservation that is not firm. Those for which runs are being stopped are firm, and those
+// of jobs that have waited for minutes.
 //
 // A reservation lasts for one plan: it keeps free resources, or resources that are being released, from demands that
 // are planned later. It is not the reservation of package scheduler, which is part of that package's state.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -39,14 +39,19 @@
 	return key, step.MaxPerWorker == 0 && !d.hasFailed()
 }
 
-// placeNow places a demand on resources that are free now: on those that are left to it, or, if it may backfill, on any
-// that are not reserved firmly.
+// placeNow places a demand on resources that are free now: on those that are left to it, if it may backfill on any that
+// are not reserved firmly, and if its job has stood beside room for too long on any at all.
 func (b *planBuilder) placeNow(d demand) (placement, bool) {
 	p, ok := b.placeFree(d)
-	if ok || !b.mayBackfill(d) {
+	if ok || !b.mayOvertake(d) {
 		return p, ok
 	}
-	return b.placeBackfill(d)
+	if b.mayBackfill(d) {
+		if p, ok = b.placeBackfill(d); ok {
+			return p, ok
+		}
+	}
+	return b.placeStanding(d)
 }
 
 // placeFree places a demand on resources that are neither reserved nor part of the headroom. It fails at once for a
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
@@ -22,10 +23,11 @@
 	State         tracker.State
 	Now           timekeeper.Millis // since the Unix epoch, on the clock that stamps submissions
 	Progress      map[tracker.RunKey]Progress
-	Avoided       map[string]bool              // workers whose runs fail, hang or run slowly
-	Suspect       map[string]bool              // workers on which one run went wrong recently
-	Unresponsive  map[string]bool              // workers whose agents have missed heartbeats
-	DrainTimeLeft map[string]timekeeper.Millis // for each draining worker, the least time until it leaves
+	Avoided       map[string]bool                     // workers whose runs fail, hang or run slowly
+	Suspect       map[string]bool                     // workers on which one run went wrong recently
+	Unresponsive  map[string]bool                     // workers whose agents have missed heartbeats
+	Standing      map[modeler.JobID]timekeeper.Millis // for each job with Wait.RoomTwice: for how long it has had it
+	DrainTimeLeft map[string]timekeeper.Millis        // for each draining worker, the least time until it leaves
 }
 
 // Plan returns the runs to start and the runs to stop now. It does not change in.
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -33,6 +33,7 @@
 	stopAt             map[tracker.RunKey]timekeeper.Millis // when a stopping run ends
 	firstStepStartedAt map[modeler.JobID]timekeeper.Millis  // when all tasks of the first step have started
 	doneAt             map[modeler.JobID]timekeeper.Millis
+	besideRoomSince    map[modeler.JobID]timekeeper.Millis // when jobs began to stand beside room for their next demand twice over
 	stopTime           timekeeper.Millis
 	slowdowns          []float64 // how many times as long as drawn tasks take, by worker in turn; nil for once
 	omitDurations      bool      // reports leave out how long runs took
@@ -46,7 +47,7 @@
 		startedAt: map[tracker.RunKey]timekeeper.Millis{}, stopAt: map[tracker.RunKey]timekeeper.Millis{},
 		firstStepStartedAt: map[modeler.JobID]timekeeper.Millis{}, doneAt: map[modeler.JobID]timekeeper.Millis{},
 		taskDuration: map[tracker.TaskKey]timekeeper.Millis{}, savedWork: map[tracker.TaskKey]timekeeper.Millis{},
-		failAfter: map[tracker.RunKey]timekeeper.Millis{},
+		failAfter: map[tracker.RunKey]timekeeper.Millis{}, besideRoomSince: map[modeler.JobID]timekeeper.Millis{},
 	}
 	sim.apply(tracker.Command{Configure: &modeler.Configuration{
 		Version: 1, Services: []string{"app"},
@@ -101,6 +102,7 @@
 			arrive(sim.now)
 		}
 		sim.finishRuns()
+		sim.recordStanding()
 		before := sim.state
 		plan := sim.policy(sim.input())
 		sim.checkPlan(before, plan)
@@ -111,7 +113,10 @@
 }
 
 func (sim *simulation) input() Input {
-	in := Input{State: sim.state, Now: sim.now, Progress: map[tracker.RunKey]Progress{}}
+	in := Input{State: sim.state, Now: sim.now, Progress: map[tracker.RunKey]Progress{}, Standing: map[modeler.JobID]timekeeper.Millis{}}
+	for id, since := range sim.besideRoomSince {
+		in.Standing[id] = sim.now - since
+	}
 	for _, w := range sim.state.Workers() {
 		for _, r := range w.Runs {
 			at := sim.startedAt[r.Key]
@@ -121,6 +126,17 @@
 	return in
 }
 
+func (sim *simulation) recordStanding() {
+	room := newRoomCounter(sim.state)
+	for _, j := range sim.state.UnfinishedJobs() {
+		if _, stands := room.standsBeside(j, sim.now, onAnyWorkers); !stands {
+			delete(sim.besideRoomSince, j.ID)
+		} else if _, known := sim.besideRoomSince[j.ID]; !known {
+			sim.besideRoomSince[j.ID] = sim.now
+		}
+	}
+}
+
 // durationOf returns how long a task takes if it is not interrupted.
 func (sim *simulation) durationOf(key tracker.TaskKey) timekeeper.Millis {
 	if own, ok := sim.taskDuration[key]; ok {
--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -224,10 +224,115 @@
 			subs := day.site.day(day.seed, day.load)
 			sim := day.site.simulate(t, w.watch, subs, true)
 			o := day.site.evaluate(sim, subs)
-			t.Logf("%d jobs, score %.3f, urgent %.3f, %d stops, longest %v, found %d", len(subs), o.score, o.kinds["urgent"], sim.stopCount, w.longest, len(w.found))
+			t.Logf("%s: %d jobs, score %.3f, urgent %.3f, %d stops, longest %v, found %d", text, len(subs), o.score, o.kinds["urgent"], sim.stopCount, w.longest, len(w.found))
 			for _, f := range w.found {
 				t.Errorf("stands for %v: %v", maxStanding, f)
 			}
 		})
 	}
 }
+
+// standFor returns the input of the next plan, in which a job has stood beside room for a time.
+func (sim *simulation) standFor(job modeler.JobID, time timekeeper.Millis) Input {
+	in := sim.input()
+	in.Standing[job] = time
+	return in
+}
+
+func workersOf(plan tracker.Assign, job modeler.JobID) []string {
+	var workers []string
+	for _, s := range plan.Starts {
+		if s.Run.Task.Job == job {
+			workers = append(workers, s.Worker)
+		}
+	}
+	slices.Sort(workers)
+	return workers
+}
+
+// TestStandingJobStartsAtLast guards against each thing that keeps a job from room for its demand twice over, for longer
+// than StandingLimit.
+func TestStandingJobStartsAtLast(t *testing.T) {
+	oneRack := gang(3, 8, 5000)
+	oneRack.OneRack = true
+	wide := tasks(5, 8, maxDeferral)
+	wide.Gang = true
+	tests := []struct {
+		name    string
+		workers int
+		prepare func(sim *simulation)
+		change  func(in *Input) // may be nil
+		want    int             // tasks that start
+	}{
+		{"room is reserved on a busy service", 12, func(sim *simulation) {
+			occupyAll(sim, 9)
+			sim.submit("wide", "plans", "other", 5000, wide)
+			sim.submit("standing", "checks", "other", 5000, tasks(3, 8, 5000))
+		}, nil, 1},
+		{"the reservation is firm", 12, func(sim *simulation) {
+			occupyAll(sim, 9)
+			sim.submit("wide", "plans", "other", 5000, wide)
+			sim.now += maxDeferral + 1
+			sim.submit("standing", "checks", "other", 5000, tasks(3, 8, 5000))
+		}, nil, 1},
+		{"room is headroom", 9, func(sim *simulation) {
+			occupyAll(sim, 7)
+			sim.submit("standing", "plans", "other", 5000, tasks(3, 8, 5000))
+		}, nil, 1},
+		{"the task has failed and idle workers are avoided", 4, func(sim *simulation) {
+			failOnce(sim, "standing")
+			occupyAll(sim, 2)
+		}, func(in *Input) { in.Avoided = setOf([]string{"w02", "w03"}) }, 1},
+		{"no rack has room for the gang", 9, func(sim *simulation) {
+			for _, i := range []int{0, 3, 6} {
+				sim.occupyWith(modeler.JobID("running-"+workerName(i)), workerName(i), 8)
+			}
+			sim.submit("standing", "plans", "other", 5000, oneRack)
+		}, nil, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			sim := newSimulation(t, Plan, test.workers)
+			test.prepare(sim)
+			for _, stood := range []timekeeper.Millis{StandingLimit - 1, StandingLimit} {
+				in := sim.standFor("standing", stood)
+				if test.change != nil {
+					test.change(&in)
+				}
+				want := 0
+				if stood >= StandingLimit {
+					want = test.want
+				}
+				if got := workersOf(Plan(in), "standing"); len(got) != want {
+					t.Errorf("after %v the job starts on %v, want %d tasks", stood, got, want)
+				}
+			}
+		})
+	}
+}
+
+// occupyAll lets a job of one task run on the whole of each of the first workers.
+func occupyAll(sim *simulation, workers int) {
+	for i := range workers {
+		sim.occupy(modeler.JobID("running-"+workerName(i)), workerName(i))
+	}
+}
+
+// TestReservationHoldsWhileRoomIsNotTwiceOver guards against jobs that stand and take the last workers from a gang.
+func TestReservationHoldsWhileRoomIsNotTwiceOver(t *testing.T) {
+	sim := newSimulation(t, Plan, 10)
+	occupyAll(sim, 7)
+	wide := tasks(4, 8, 5000)
+	wide.Gang = true
+	sim.submit("wide", "plans", "other", 5000, wide)
+	for i := range 3 {
+		sim.submit(fmt.Sprintf("standing%d", i), "plans", "other", 5000, tasks(2, 8, 5000))
+	}
+	in := sim.input()
+	for i := range 3 {
+		in.Standing[modeler.JobID(fmt.Sprintf("standing%d", i))] = StandingLimit
+	}
+	if starts := Plan(in).Starts; len(starts) != 2 {
+		t.Errorf("%v start, want two that leave a worker for the gang", starts)
+	}
+}
--- a/internal/planner/sets.go
+++ b/internal/planner/sets.go
@@ -12,6 +12,9 @@
 // demand if idle is used. The last pool is all eligible workers. Demands with the same poolKey share a list.
 type poolList []workerPool
 
+// all returns the pool of all eligible workers, avoided and suspect ones included.
+func (l poolList) all() workerPool { return l[len(l)-1] }
+
 // workerPool is a set of workers, also grouped by rack.
 type workerPool struct {
 	workers []*workerState
@@ -28,12 +31,7 @@
 // eligiblePools returns the pools for a demand. If one of its tasks has failed before, it prefers workers that are
 // neither suspect nor the one that the task failed on, since another failure may be the job's last.
 func (b *planBuilder) eligiblePools(d demand) poolList {
-	key := poolKey{d.queue.Service, d.step.Label}
-	pools, known := b.pools[key]
-	if !known {
-		pools = b.newEligiblePools(key)
-		b.pools[key] = pools
-	}
+	pools := b.poolsOf(poolKey{d.queue.Service, d.step.Label})
 	if !d.hasFailed() {
 		return pools
 	}
@@ -42,6 +40,15 @@
 	return append(poolList{pools[0].without(risky), pools[0].without(failedHere)}, pools[1:]...)
 }
 
+func (b *planBuilder) poolsOf(key poolKey) poolList {
+	pools, known := b.pools[key]
+	if !known {
+		pools = b.newEligiblePools(key)
+		b.pools[key] = pools
+	}
+	return pools
+}
+
 func (b *planBuilder) newEligiblePools(key poolKey) poolList {
 	var all []*workerState
 	for _, w := range b.workers {
--- a/internal/planner/wait.go
+++ b/internal/planner/wait.go
@@ -53,6 +53,7 @@
 	Instance  int               // the first instance that waits
 	Tasks     int               // tasks that are placed together: all members of a gang, else one
 	Need      modeler.Resources // of each task
+	RoomTwice bool              // a ready step has room for two such placements on workers as they are, in any racks
 	Cause     Cause
 	Holder    modeler.JobID // for CauseReserved: the job that most of the reserved room is held for
 	Worker    string        // for CauseStopping: a worker of a run that is being stopped
@@ -130,13 +131,19 @@
 // noteWait records why the current candidate waits for a demand, before resources are reserved for it. A job of which
 // something runs does not wait, but for its long-running tasks.
 func (b *planBuilder) noteWait(d demand) {
-	if len(b.waits.list) > b.waits.earlier || d.planned > 0 {
+	if d.planned > 0 {
+		return
+	}
+	if len(b.waits.list) > b.waits.earlier {
+		noted := &b.waits.list[b.waits.earlier]
+		noted.RoomTwice = noted.RoomTwice || b.standsBesideRoom(d)
 		return
 	}
 	if running, _ := b.activity(&d.job); running && !d.step.LongRunning {
 		return
 	}
 	w := newWait(&d.job, d.instance)
+	w.RoomTwice = b.standsBesideRoom(d)
 	if d.atParallelismLimit() {
 		w.Cause = CauseParallelism
 	} else {
@@ -276,11 +283,11 @@
 
 // hasRoom reports whether one of the domains could hold the whole demand now, without the plan's reservations.
 func hasRoom(d demand, domains [][]*workerState) bool {
-	return slices.ContainsFunc(domains, func(workers []*workerState) bool { return hasRoomOn(d, workers) })
+	return slices.ContainsFunc(domains, func(workers []*workerState) bool { return hasRoomOn(d, len(d.tasks), workers) })
 }
 
-func hasRoomOn(d demand, workers []*workerState) bool {
-	remaining := len(d.tasks)
+// hasRoomOn reports whether workers could hold a number of a demand's tasks now, without the plan's reservations.
+func hasRoomOn(d demand, remaining int, workers []*workerState) bool {
 	for _, w := range workers {
 		n := d.step.Need.FitCount(w.unreserved(), remaining)
 		if limit := d.step.MaxPerWorker; limit > 0 {
@@ -304,8 +311,7 @@
 
 // allEligible returns all eligible workers of a demand, avoided and suspect ones included.
 func (b *planBuilder) allEligible(d demand) workerPool {
-	pools := b.eligiblePools(d)
-	return pools[len(pools)-1]
+	return b.poolsOf(poolKey{d.queue.Service, d.step.Label}).all()
 }
 
 // withUnresponsive returns all eligible workers of a demand, those with unresponsive agents included.
--- a/internal/planner/wait_test.go
+++ b/internal/planner/wait_test.go
@@ -58,7 +58,7 @@
 			},
 			want: []Wait{
 				{Job: "gang", Queue: "plans", Workspace: "other", Tasks: 2, Need: whole, Cause: CauseNoRoom},
-				{Job: "behind", Queue: "checks", Workspace: "other", Tasks: 1, Need: small, Cause: CauseReserved, Holder: "gang"},
+				{Job: "behind", Queue: "checks", Workspace: "other", Tasks: 1, Need: small, RoomTwice: true, Cause: CauseReserved, Holder: "gang"},
 			},
 		},
 		{
