Say in the log what an outsider sees of a job that stands

Line 2029 asked the planner whether a job is held back and stayed silent while less than half of a service was free by weight, so that no line told of jobs that stood beside room on a busy service. It is written now once the job's demand has fitted twice over for 2 s on workers as they are, by a count of the coordinator's own, and as before while half of the service is free. 2028 and 2029 say how many times over the demand fits (room) and which shares of the service's cores, memory and accelerators are free.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -109,7 +109,7 @@
 	plan := decision.Assign
 	c.meter.Observe("plan_time", "", "", time.Since(started))
 	c.waits.record(now, decision.Waits, plan.Starts)
-	c.publishWaits(state, now)
+	c.publishWaits(in, plan.Starts, now)
 	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
 		return
 	}
--- a/internal/coordinator/waits.go
+++ b/internal/coordinator/waits.go
@@ -35,6 +35,14 @@
 	present  bool // the job waits, or starts, after the plan that is being recorded
 	// besideSince is when the job began to stand beside room; zero if it does not.
 	besideSince timekeeper.Millis
+	room        int               // how many times over its demand fits, at the last report
+	twiceSince  timekeeper.Millis // since when it has fitted twice over in each report; zero if it does not
+	loggedHeld  bool              // the last line was about a job that is held back
+}
+
+// heldBack reports whether the job's demand has fitted twice over for longWait.
+func (w *jobWait) heldBack(now timekeeper.Millis) bool {
+	return w.twiceSince != 0 && now-w.twiceSince >= longWait
 }
 
 // due reports whether a line about the wait is due.
@@ -44,7 +52,7 @@
 		return false
 	case w.loggedAt == 0:
 		return true
-	case w.Cause != w.logged:
+	case w.Cause != w.logged || w.heldBack(now) && !w.loggedHeld:
 		return now-w.loggedAt >= causeLogInterval
 	}
 	return now-w.loggedAt >= waitLogInterval
@@ -132,10 +140,28 @@
 	return now - w.since, true
 }
 
+// reportDue reports whether the last report is long enough ago for another.
+func (r *waitRecorder) reportDue(now timekeeper.Millis) bool {
+	return r.reportedAt == 0 || now-r.reportedAt >= waitReportInterval
+}
+
+// observeRoom updates how many times over the demands of the jobs that wait fit.
+func (r *waitRecorder) observeRoom(now timekeeper.Millis, timesOver func(planner.Wait) int) {
+	for _, w := range r.jobs {
+		w.room = timesOver(w.Wait)
+		switch {
+		case w.room < 2 || w.Cause == planner.CauseStopping: // a run that is being stopped still holds its room
+			w.twiceSince = 0
+		case w.twiceSince == 0:
+			w.twiceSince = now
+		}
+	}
+}
+
 // report returns what is to be published now, or false if the last report is too recent. Of the lines that are due it
 // returns maxWaitLines at most: those of jobs for which there is room first, and then those that have waited longest.
 func (r *waitRecorder) report(now timekeeper.Millis) (waitReport, bool) {
-	if r.reportedAt != 0 && now-r.reportedAt < waitReportInterval {
+	if !r.reportDue(now) {
 		return waitReport{}, false
 	}
 	r.reportedAt = now
@@ -151,7 +177,7 @@
 	}
 	slices.SortFunc(due, compareWaits)
 	for _, w := range due[:min(len(due), maxWaitLines)] {
-		w.loggedAt, w.logged = now, w.Cause
+		w.loggedAt, w.logged, w.loggedHeld = now, w.Cause, w.heldBack(now)
 		report.lines = append(report.lines, *w)
 	}
 	return report, true
@@ -167,30 +193,34 @@
 	return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.Job, b.Job))
 }
 
-// publishWaits logs and counts the jobs that have waited long after a plan for the given state.
-func (c *Coordinator) publishWaits(state tracker.State, now timekeeper.Millis) {
-	report, ok := c.waits.report(now)
-	if !ok {
+// publishWaits logs and counts the jobs that have waited long after a plan with the given input and starts.
+func (c *Coordinator) publishWaits(in planner.Input, starts []tracker.Start, now timekeeper.Millis) {
+	if !c.waits.reportDue(now) {
 		return
 	}
+	c.waits.observeRoom(now, newRoomView(in, starts).timesOver)
+	report, _ := c.waits.report(now)
 	for _, cause := range planner.Causes() {
 		c.meter.GaugeOf("jobs_waiting", cause.String(), float64(report.counts[cause]))
 	}
 	if len(report.lines) == 0 {
 		return
 	}
-	free := freeShares(state)
+	free := freeShares(in.State)
 	for _, w := range report.lines {
-		c.logWait(state, w, now, free)
+		c.logWait(in.State, w, now, free)
 	}
 }
 
-func (c *Coordinator) logWait(state tracker.State, w jobWait, now timekeeper.Millis, free map[string]int) {
+func (c *Coordinator) logWait(state tracker.State, w jobWait, now timekeeper.Millis, free map[string]freeShare) {
 	event := logger.JobWaits
+	if w.heldBack(now) {
+		event = logger.JobHeldBack
+	}
 	fields := []logger.Field{
 		logger.F("job", string(w.Job)), logger.F("queue", w.Queue), logger.F("cause", w.Cause.String()), logger.F("waited", now-w.since),
 		logger.F("tasks", w.Tasks), logger.F("accelerators", w.Need.Accelerators), logger.F("millicores", w.Need.MilliCores),
-		logger.F("memory", w.Need.MemoryMB), logger.F("state", state.Index),
+		logger.F("memory", w.Need.MemoryMB), logger.F("room", w.room), logger.F("state", state.Index),
 	}
 	if w.Holder != "" {
 		fields = append(fields, logger.F("holder", string(w.Holder)))
@@ -199,8 +229,10 @@
 		fields = append(fields, logger.F("worker", w.Worker))
 	}
 	if q, ok := state.Queue(w.Queue); ok {
-		fields = append(fields, logger.F("free", free[q.Service]))
-		if w.Cause.HasRoom() && free[q.Service] >= idleShare {
+		f := free[q.Service]
+		fields = append(fields, logger.F("free", f.weight), logger.F("free-cores", f.cores), logger.F("free-memory", f.memory),
+			logger.F("free-accelerators", f.accelerators))
+		if w.Cause.HasRoom() && f.weight >= idleShare {
 			event = logger.JobHeldBack
 		}
 	}
@@ -227,19 +259,3 @@
 		c.meter.GaugeOf("jobs_waiting", cause.String(), 0)
 	}
 }
-
-// freeShares returns the free share of each service's capacity, by weight and in percent.
-func freeShares(state tracker.State) map[string]int {
-	free, capacity := map[string]int{}, map[string]int{}
-	for _, w := range state.Workers() {
-		if !w.Detached {
-			free[w.Profile.Service] += w.Free().Weight()
-			capacity[w.Profile.Service] += w.Profile.Capacity.Weight()
-		}
-	}
-	shares := make(map[string]int, len(capacity))
-	for service, total := range capacity {
-		shares[service] = free[service] * 100 / max(total, 1)
-	}
-	return shares
-}
--- a/internal/coordinator/waits_test.go
+++ b/internal/coordinator/waits_test.go
@@ -245,21 +245,33 @@
 	}
 }
 
-// TestWaitLine checks the line about a wait: a warning if the job would fit and half of the service is free.
+// TestWaitLine checks the line about a wait: a warning if the job has fitted twice over for long, or fits and half of the
+// service is free.
 func TestWaitLine(t *testing.T) {
 	tests := []struct {
 		name  string
 		wait  planner.Wait
-		inUse int // workers of two of which half is in use
+		room  int
+		twice timekeeper.Millis // since when the demand fits twice over
+		inUse int               // workers of two of which half is in use
 		want  map[string]any
 	}{
 		{
-			name: "room is reserved on an idle service", inUse: 1,
+			name: "room is reserved on an idle service", inUse: 1, room: 1,
 			wait: planner.Wait{Job: "a", Queue: "batch", Tasks: 2, Need: modeler.Resources{MilliCores: 500, MemoryMB: 100, Accelerators: 4}, Cause: planner.CauseReserved, Holder: "b"},
 			want: map[string]any{
 				"event": 2029.0, "level": "warn", "message": "job waits beside free room", "process": "p", "job": "a", "queue": "batch",
 				"cause": "room-reserved", "waited": "3000ms", "tasks": 2.0, "accelerators": 4.0, "millicores": 500.0, "memory": 100.0,
-				"holder": "b", "free": 75.0, "state": 5.0,
+				"holder": "b", "room": 1.0, "free": 75.0, "free-cores": 75.0, "free-memory": 100.0, "free-accelerators": 75.0, "state": 5.0,
+			},
+		},
+		{
+			name: "there is room twice over on a busy service", inUse: 2, room: 2, twice: 2000,
+			wait: planner.Wait{Job: "a", Queue: "batch", Tasks: 1, Need: modeler.Resources{MilliCores: 500, MemoryMB: 100, Accelerators: 4}, Cause: planner.CauseNoRoom},
+			want: map[string]any{
+				"event": 2029.0, "level": "warn", "message": "job waits beside free room", "process": "p", "job": "a", "queue": "batch",
+				"cause": "no-room", "waited": "3000ms", "tasks": 1.0, "accelerators": 4.0, "millicores": 500.0, "memory": 100.0,
+				"room": 2.0, "free": 50.0, "free-cores": 50.0, "free-memory": 100.0, "free-accelerators": 50.0, "state": 5.0,
 			},
 		},
 		{
@@ -268,7 +280,7 @@
 			want: map[string]any{
 				"event": 2028.0, "level": "info", "message": "job waits", "process": "p", "job": "a", "queue": "batch",
 				"cause": "no-room", "waited": "3000ms", "tasks": 1.0, "accelerators": 0.0, "millicores": 0.0, "memory": 0.0,
-				"free": 50.0, "state": 5.0,
+				"room": 0.0, "free": 50.0, "free-cores": 50.0, "free-memory": 100.0, "free-accelerators": 50.0, "state": 5.0,
 			},
 		},
 		{
@@ -277,7 +289,7 @@
 			want: map[string]any{
 				"event": 2028.0, "level": "info", "message": "job waits", "process": "p", "job": "a", "queue": "gone",
 				"cause": "queue-unknown", "waited": "3000ms", "tasks": 1.0, "accelerators": 0.0, "millicores": 0.0, "memory": 0.0,
-				"state": 5.0,
+				"room": 0.0, "state": 5.0,
 			},
 		},
 	}
@@ -287,7 +299,7 @@
 			fillHalf(cluster, test.inUse)
 			var out bytes.Buffer
 			c := &Coordinator{log: logger.New(&out, "p")}
-			c.logWait(cluster.state, jobWait{Wait: test.wait, since: 1000}, 4000, freeShares(cluster.state))
+			c.logWait(cluster.state, jobWait{Wait: test.wait, since: 1000, room: test.room, twiceSince: test.twice}, 4000, freeShares(cluster.state))
 			var got map[string]any
 			if err := json.Unmarshal(out.Bytes(), &got); err != nil {
 				t.Fatalf("%v: %s", err, out.Bytes())
@@ -300,6 +312,53 @@
 	}
 }
 
+// TestHeldBackAfterTimeBesideRoom plays reports every 250 ms about a job that waits. The line must become one about a job
+// that is held back once the demand has fitted twice over for longWait.
+func TestHeldBackAfterTimeBesideRoom(t *testing.T) {
+	const first, roomAt timekeeper.Millis = 1000, 3000
+	var r waitRecorder
+	var got []string
+	for at := timekeeper.Millis(0); at < 7000; at += waitReportInterval {
+		now := first + at
+		r.record(now, []planner.Wait{waiting("a", planner.CauseReserved)}, nil)
+		r.observeRoom(now, func(planner.Wait) int {
+			if at < roomAt {
+				return 1
+			}
+			return 2
+		})
+		report, _ := r.report(now)
+		for _, w := range report.lines {
+			got = append(got, fmt.Sprintf("%v held %t", at, w.heldBack(now)))
+		}
+	}
+	if diff := cmp.Diff([]string{"2000ms held false", "5000ms held true"}, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestRoomAsAnOutsiderSeesIt counts the room for a job that waits, after the starts of a plan.
+func TestRoomAsAnOutsiderSeesIt(t *testing.T) {
+	cluster := newCluster(t, 2)
+	fillHalf(cluster, 1)
+	need := modeler.Resources{MilliCores: 1000, Accelerators: 2}
+	cluster.apply(tracker.Command{Submit: &modeler.Job{ID: "a", Queue: "batch", Steps: []modeler.Step{
+		{Count: 8, Need: need}, {Count: 3, Need: need, Gang: true, OneRack: true}, {Count: 8, Need: need, MaxPerWorker: 1}, {Count: 1, Need: need, Label: "none"},
+	}}})
+	start := tracker.Start{Run: tracker.RunKey{Task: tracker.TaskKey{Job: "a"}, Attempt: 1}, Worker: "w1", Epoch: 1}
+	view := newRoomView(planner.Input{State: cluster.state}, []tracker.Start{start})
+	silent := newRoomView(planner.Input{State: cluster.state, Unresponsive: map[string]bool{"w1": true}}, nil)
+	wait := func(instance, tasks int) planner.Wait {
+		return planner.Wait{Job: "a", Queue: "batch", Instance: instance, Tasks: tasks}
+	}
+	got := []int{
+		view.timesOver(wait(0, 1)), view.timesOver(wait(1, 3)), view.timesOver(wait(2, 1)), view.timesOver(wait(3, 1)), silent.timesOver(wait(0, 1)),
+	}
+	if diff := cmp.Diff([]int{5, 1, 2, 0, 2}, got); diff != "" {
+		t.Errorf("times over: a task, a gang, one task a worker, a missing label, a silent agent (-want +got):\n%s", diff)
+	}
+}
+
 // fillHalf starts a task on each of the first workers that takes half of its capacity by weight.
 func fillHalf(c *cluster, workers int) {
 	c.t.Helper()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
@@ -172,8 +171,3 @@
 	})
 	return keys
 }
-
-// hasLabel reports whether a worker has a label, ignoring case. Every worker has the empty label.
-func hasLabel(w tracker.Worker, label string) bool {
-	return label == "" || slices.ContainsFunc(w.Profile.Labels, func(l string) bool { return strings.EqualFold(l, label) })
-}
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -284,7 +284,7 @@
 			sim.t.Fatalf("%v is started at %v, before it is due", start.Run, sim.now)
 		case !j.InstanceReady(j.Instance(key)):
 			sim.t.Fatalf("%v is started before the steps it depends on are done", start.Run)
-		case !hasLabel(w, step.Label):
+		case !w.Profile.HasLabel(step.Label):
 			sim.t.Fatalf("%v is started on %s, which lacks label %q", start.Run, w.Name, step.Label)
 		}
 		if spread[group] == nil {
--- a/internal/planner/sets.go
+++ b/internal/planner/sets.go
@@ -52,7 +52,7 @@
 func (b *planBuilder) newEligiblePools(key poolKey) poolList {
 	var all []*workerState
 	for _, w := range b.workers {
-		if w.info.Profile.Service == key.service && hasLabel(w.info, key.label) {
+		if w.info.Profile.Service == key.service && w.info.Profile.HasLabel(key.label) {
 			all = append(all, w)
 		}
 	}
--- a/internal/planner/wait.go
+++ b/internal/planner/wait.go
@@ -323,7 +323,7 @@
 	workers := slices.Clone(b.allEligible(d).workers)
 	for name := range b.in.Unresponsive {
 		w, known := b.in.State.Worker(name)
-		if known && w.Usable() && w.Profile.Service == key.service && hasLabel(w, key.label) {
+		if known && w.Usable() && w.Profile.Service == key.service && w.Profile.HasLabel(key.label) {
 			workers = append(workers, &workerState{info: w, rack: w.Profile.Rack(), free: w.Free()})
 		}
 	}
--- a/internal/tracker/worker.go
+++ b/internal/tracker/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 )
@@ -29,6 +30,11 @@
 	return p.Labels[len(p.Labels)-1]
 }
 
+// HasLabel reports whether the profile has a label, ignoring case. Every profile has the empty label.
+func (p Profile) HasLabel(label string) bool {
+	return label == "" || slices.ContainsFunc(p.Labels, func(l string) bool { return strings.EqualFold(l, label) })
+}
+
 // Run is a run that occupies resources on a worker.
 type Run struct {
 	Key      RunKey            `cbor:"1,keyasint"`
