Let a job stand on through a short lack of room

Callers saw a job with nothing running for over 3 s beside room for its next task twice over, when short runs came and went. The time for which a job stands began anew with each plan that saw no room. A run that is assigned some milliseconds before the leader hears of the end of another one hides room for one plan, while an outsider sees room all the while.

The time now goes on through lacks of less than 300 ms, and begins anew only if plans see none for longer. While there is no room twice over nothing starts on reserved room, as before.

--- a/internal/coordinator/waits.go
+++ b/internal/coordinator/waits.go
@@ -20,6 +20,9 @@
 	causeLogInterval timekeeper.Millis = 1000
 	// waitReportInterval is the pause between two reports, since a plan is made after every change of the state.
 	waitReportInterval timekeeper.Millis = 250
+	// maxRoomGap is the time for which plans may see no room beside a job that goes on to stand there. A run that is assigned
+	// just before the leader hears of the end of another one hides room for as long as that takes.
+	maxRoomGap timekeeper.Millis = 300
 	// maxWaitLines bounds the lines of one report.
 	maxWaitLines = 20
 	// idleShare is the free share of a service, in percent, from which a job that would fit should not have to wait.
@@ -35,9 +38,11 @@
 	present  bool // the job waits, or starts, after the plan that is being recorded
 	// besideSince is when the job began to stand beside room; zero if it does not.
 	besideSince timekeeper.Millis
-	room        int               // how many times over its demand fits, at the last report
-	twiceSince  timekeeper.Millis // since when it has fitted twice over in each report; zero if it does not
-	loggedHeld  bool              // the last line was about a job that is held back
+	// lackSince is when the plans began to see no room beside the job; zero if the last one saw room.
+	lackSince  timekeeper.Millis
+	room       int               // how many times over its demand fits, at the last report
+	twiceSince timekeeper.Millis // since when it has fitted twice over in each report; zero if it does not
+	loggedHeld bool              // the last line was about a job that is held back
 }
 
 // heldBack reports whether the job's demand has fitted twice over for longWait.
@@ -91,7 +96,7 @@
 		besideSince -= planner.StandingLimit
 	}
 	for _, w := range waits {
-		r.recordWait(now, w).recordRoom(w.RoomTwice, besideSince)
+		r.recordWait(now, w).recordRoom(w.RoomTwice, now, besideSince)
 	}
 	for _, s := range starts {
 		if known := r.jobs[s.Run.Task.Job]; known != nil {
@@ -121,12 +126,17 @@
 	return known
 }
 
-// recordRoom updates since when the job stands beside room: since the given time if it has just begun.
-func (w *jobWait) recordRoom(beside bool, since timekeeper.Millis) {
-	if !beside {
+// recordRoom updates since when the job stands beside room: since the given time if it has just begun. It goes on through
+// lacks of room of less than maxRoomGap.
+func (w *jobWait) recordRoom(beside bool, now, since timekeeper.Millis) {
+	if beside {
+		w.lackSince = 0
+		w.besideSince = cmp.Or(w.besideSince, since)
+		return
+	}
+	w.lackSince = cmp.Or(w.lackSince, now)
+	if now-w.lackSince >= maxRoomGap {
 		w.besideSince = 0
-	} else if w.besideSince == 0 {
-		w.besideSince = since
 	}
 }
 
