Let no single answer of a runner acknowledge ends that the agent has not seen

Cause: the highest number listed was reported, committed, and then sent to the runner as acknowledged. The runner discarded every end below it, also those that it had not listed yet, and the agent took lower ends for ones that were reported before, in this session and in the next ones of the incarnation.

A number that does not follow the one before is reported only once two listings in a row contain it. The end of a run that is still assigned is reported whatever its number is.

--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -81,6 +81,7 @@
 	}
 	s.failedPolls = 0
 	s.answeredPoll = r.serial
+	s.credibleEnd = lastCredible(max(s.credibleEnd, s.committedEnd), s.listing.Finished, r.listing.Finished)
 	s.listing = r.listing
 	s.clock = clockSample{r.listing.Clock, r.receivedAt}
 	s.reconcile()
--- a/internal/executor/report.go
+++ b/internal/executor/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/coordinator"
@@ -29,14 +30,18 @@
 }
 
 // unreported returns the ends in the last listing that were not reported yet, and the ends of runs that the runner will
-// never list.
+// never list. The end of a run that is still assigned is reported whatever its number is.
 func (s *session) unreported() []tracker.End {
 	var ends []tracker.End
 	for _, end := range s.listing.Finished {
-		if end.Number > max(s.reportedEnd, s.committedEnd) {
-			if r := s.runs[end.Run]; r != nil {
-				end.RunTime = r.duration
-			}
+		r := s.runs[end.Run]
+		if r != nil {
+			end.RunTime = r.duration
+		}
+		if end.Number > s.credibleEnd {
+			continue // the next listing repeats it
+		}
+		if end.Number > max(s.reportedEnd, s.committedEnd) || r != nil && !r.committed {
 			ends = append(ends, end)
 		}
 	}
@@ -48,6 +53,20 @@
 	return ends
 }
 
+// lastCredible returns the highest number up to which listed ends may be reported, given that known was the last one. A
+// number that does not follow the one before counts once two listings in a row contain it, since a wrong one would make
+// the runner discard the ends below it.
+func lastCredible(known int, before, now []tracker.End) int {
+	for _, end := range now {
+		same := func(o tracker.End) bool { return o.Number == end.Number && o.Run == end.Run }
+		if end.Number > known+1 && !slices.ContainsFunc(before, same) {
+			break
+		}
+		known = max(known, end.Number)
+	}
+	return known
+}
+
 func (s *session) handleReportResult(r reportResult) {
 	s.reporting = false
 	if r.err != nil {
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -46,6 +46,7 @@
 	failedPolls       int // consecutive failed polls
 	committedEnd      int // number of the last end that is committed to the log
 	reportedEnd       int // number of the last end that was reported
+	credibleEnd       int // number of the last listed end that may be reported
 
 	watching, polling, reporting bool
 	watchResults                 chan watchResult
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -201,3 +201,60 @@
 		t.Error("the session continues with another incarnation of the runner")
 	}
 }
+
+// TestEndWithSkippedNumberIsReportedOnceRepeated guards against a wrong number of an end that makes the runner discard
+// other ends.
+func TestEndWithSkippedNumberIsReportedOnceRepeated(t *testing.T) {
+	end := func(number, index int) tracker.End {
+		return tracker.End{Number: number, Run: testRun(index), Kind: tracker.EndDone}
+	}
+	s := newTestSession(t, &fakeRunner{}, Listing{})
+	for i, step := range []struct{ listed, want []tracker.End }{
+		{[]tracker.End{end(1, 1), end(900, 9)}, []tracker.End{end(1, 1)}},
+		{[]tracker.End{end(1, 1), end(2, 2)}, []tracker.End{end(1, 1), end(2, 2)}},
+		{[]tracker.End{end(1, 1), end(2, 2), end(7, 7)}, []tracker.End{end(1, 1), end(2, 2)}},
+		{[]tracker.End{end(1, 1), end(2, 2), end(7, 7)}, []tracker.End{end(1, 1), end(2, 2), end(7, 7)}},
+	} {
+		s.handlePollResult(pollResult{serial: i + 2, listing: Listing{Finished: step.listed}, verdict: VerdictDone})
+		if diff := cmp.Diff(step.want, s.unreported()); diff != "" {
+			t.Errorf("listing %d: ends to report (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// TestEndOfAssignedRunIsReportedWhateverItsNumber guards against an end that is taken for one reported before because a
+// higher number is committed.
+func TestEndOfAssignedRunIsReportedWhateverItsNumber(t *testing.T) {
+	s := newTestSession(t, &fakeRunner{start: VerdictDone}, Listing{})
+	s.assign(t, coordinator.Assignment{Run: testRun(0), Epoch: 5})
+	s.committedEnd = 1000
+	want := []tracker.End{{Number: 3, Run: testRun(0), Kind: tracker.EndDone}}
+	s.handlePollResult(pollResult{serial: 2, listing: Listing{Finished: want}, verdict: VerdictDone})
+	if diff := cmp.Diff(want, s.unreported()); diff != "" {
+		t.Errorf("ends to report (-want +got):\n%s", diff)
+	}
+}
+
+// TestAnnouncementsAreFollowedAfterWrongSequenceNumber guards against one high sequence number that makes the agent take
+// all later announcements for late ones.
+func TestAnnouncementsAreFollowedAfterWrongSequenceNumber(t *testing.T) {
+	s := sequence{last: 10}
+	var got []bool
+	for _, n := range []int{11, 9, 1 << 50, 12, 1 << 50, 1<<50 + 1, 13, 14, 15, 5000, 5001, 16} {
+		got = append(got, s.accept(n))
+	}
+	want := []bool{true, false, false, true, false, true, false, true, true, false, true, false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("accepted (-want +got):\n%s", diff)
+	}
+}
+
+// TestListingWithEarlierClockClosesSession guards against a lease that is computed from a wrong reading of the runner's
+// clock.
+func TestListingWithEarlierClockClosesSession(t *testing.T) {
+	s := newTestSession(t, &fakeRunner{}, Listing{Clock: 1 << 50})
+	s.handlePollResult(pollResult{serial: 2, listing: Listing{Clock: 500}, verdict: VerdictDone})
+	if !s.closed {
+		t.Error("the session continues although the runner's clock went back")
+	}
+}
