--- a/internal/coordinator/agents_test.go
+++ b/internal/coordinator/agents_test.go
@@ -27,6 +27,20 @@
 	}
 }
 
+// TestAttachmentOutOfRangeIsNotReplicated guards against a worker with a capacity that no machine has.
+func TestAttachmentOutOfRangeIsNotReplicated(t *testing.T) {
+	c, ctx := startCoordinator(t)
+	a := tracker.Attach{Worker: "w", Incarnation: tracker.Incarnation{ID: "i", StartedAt: 1}, AgentProcess: "p"}
+	a.Profile.Capacity.Accelerators = 1 << 60
+	response, err := c.attach(ctx, &AttachRequest{Attach: a})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, known := c.machine.State().Worker("w"); known || response.Accepted {
+		t.Errorf("known %v, accepted %v, want neither", known, response.Accepted)
+	}
+}
+
 func watch(ctx context.Context, t *testing.T, c *Coordinator, r *WatchRequest) {
 	t.Helper()
 	response, err := c.watch(ctx, r)
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -356,3 +357,73 @@
 		t.Fatal("a job that ended before the given time was not deleted")
 	}
 }
+
+// TestConfirmedIncarnationMayHaveEarlierStart guards against a runner that starts again under its id after a step of its
+// clock and is ignored for good.
+func TestConfirmedIncarnationMayHaveEarlierStart(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	h.attach("w", Incarnation{"i", 5}, "p")
+	earlier := Attach{Worker: "w", Incarnation: Incarnation{"i", 1}, AgentProcess: "p"}
+	if answer := h.apply(Command{Attach: &earlier}); answer.Code != Stale {
+		t.Errorf("unconfirmed: code %d, want Stale", answer.Code)
+	}
+	earlier.Confirmed = true
+	if answer := h.apply(Command{Attach: &earlier}); answer.Code != Accepted || answer.Epoch != 2 {
+		t.Errorf("confirmed: code %d with epoch %d, want Accepted with epoch 2", answer.Code, answer.Epoch)
+	}
+	w, _ := h.state.Worker("w")
+	if diff := cmp.Diff(earlier.Incarnation, w.Incarnation); diff != "" {
+		t.Errorf("incarnation (-want +got):\n%s", diff)
+	}
+}
+
+// TestConfirmedAttachmentRevokesDrain guards against a worker that drains for good after a false deregistration. An
+// attachment that is not confirmed may be a late one, and revokes nothing.
+func TestConfirmedAttachmentRevokesDrain(t *testing.T) {
+	h := newHistory(t.Fatalf)
+	epoch := h.attach("w", Incarnation{"i", 1}, "p")
+	h.apply(Command{Drain: &Drain{Worker: "w", Epoch: epoch}})
+	for _, confirmed := range []bool{false, true} {
+		h.apply(Command{Attach: &Attach{Worker: "w", Incarnation: Incarnation{"i", 1}, AgentProcess: "p", Confirmed: confirmed}})
+		if w, _ := h.state.Worker("w"); w.Usable() != confirmed {
+			t.Errorf("confirmed %v: usable %v", confirmed, w.Usable())
+		}
+	}
+}
+
+// TestAttachCheckRejectsValuesOutOfRange guards against values that an agent passes on from an announcement and that the
+// log and every replica would have to hold.
+func TestAttachCheckRejectsValuesOutOfRange(t *testing.T) {
+	valid := Attach{
+		Worker: "w", Incarnation: Incarnation{"i", 1}, AgentProcess: "p",
+		Profile: Profile{Service: "s", Zone: "z", Labels: []string{"a", "r"}, Capacity: modeler.Resources{MilliCores: 16000, MemoryMB: 32768, Accelerators: 8}},
+	}
+	if err := valid.Check(); err != nil {
+		t.Errorf("valid: %v", err)
+	}
+	long := strings.Repeat("x", 5000)
+	for name, change := range map[string]func(*Attach){
+		"no worker":                func(a *Attach) { a.Worker = "" },
+		"no id":                    func(a *Attach) { a.Incarnation.ID = "" },
+		"long id":                  func(a *Attach) { a.Incarnation.ID = long },
+		"negative start":           func(a *Attach) { a.Incarnation.StartedAt = -1 },
+		"start too large":          func(a *Attach) { a.Incarnation.StartedAt = 1 << 62 },
+		"long service":             func(a *Attach) { a.Profile.Service = long },
+		"long zone":                func(a *Attach) { a.Profile.Zone = long },
+		"long label":               func(a *Attach) { a.Profile.Labels = []string{long} },
+		"many labels":              func(a *Attach) { a.Profile.Labels = make([]string, 5000) },
+		"negative cores":           func(a *Attach) { a.Profile.Capacity.MilliCores = -1 },
+		"too many cores":           func(a *Attach) { a.Profile.Capacity.MilliCores = 1 << 60 },
+		"negative memory":          func(a *Attach) { a.Profile.Capacity.MemoryMB = -1 },
+		"too much memory":          func(a *Attach) { a.Profile.Capacity.MemoryMB = 1 << 60 },
+		"too many accelerators":    func(a *Attach) { a.Profile.Capacity.Accelerators = 1 << 60 },
+		"negative accelerators":    func(a *Attach) { a.Profile.Capacity.Accelerators = -1 },
+		"long name of the process": func(a *Attach) { a.AgentProcess = long },
+	} {
+		a := valid
+		change(&a)
+		if a.Check() == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
