--- a/internal/registrar/machine.go
+++ b/internal/registrar/machine.go
@@ -52,6 +52,12 @@
 	return s.Encode
 }
 
+// Check returns an error if Restore would refuse the data of a snapshot.
+func (m *Machine) Check(data []byte) error {
+	_, err := Decode(data)
+	return err
+}
+
 // Restore replaces the state by the encoded state of a snapshot at index.
 func (m *Machine) Restore(index uint64, data []byte) error {
 	s, err := Decode(data)
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -36,6 +36,8 @@
 	Capture() func() ([]byte, error)
 	// Restore replaces the state with the encoded state after the entry at index.
 	Restore(index uint64, data []byte) error
+	// Check returns an error if Restore would refuse data. Any goroutine may call it.
+	Check(data []byte) error
 }
 
 // Transport sends messages to other replicas. Send must not block and may drop messages.
@@ -175,8 +177,13 @@
 // Done returns a channel that is closed when Run has returned.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
-// Receive queues a message from another replica. It drops the message if the queue is full.
+// Receive queues a message from another replica. It drops the message if the queue is full, and a snapshot that cannot be
+// restored, before it could replace what is on the disk.
 func (n *Node) Receive(m Message) {
+	if m.Kind == SnapshotRequest && m.Snapshot != nil && n.machine.Check(m.Snapshot.Data) != nil {
+		n.refused.Add(1)
+		return
+	}
 	select {
 	case n.inbox <- m:
 	default:
--- a/internal/replicator/node_test.go
+++ b/internal/replicator/node_test.go
@@ -42,6 +42,13 @@
 	return nil
 }
 
+func (c *counter) Check(data []byte) error {
+	if len(data) != 8 {
+		return errors.New("not a total")
+	}
+	return nil
+}
+
 // localTransport delivers messages between nodes of one process. mu guards nodes.
 type localTransport struct {
 	mu    sync.Mutex
@@ -287,6 +294,22 @@
 	}
 }
 
+// TestSnapshotThatCannotBeRestoredEndsNoReplica sends a replica a snapshot whose data is no state.
+func TestSnapshotThatCannotBeRestoredEndsNoReplica(t *testing.T) {
+	g := startGroup(t, 1, 0)
+	defer g.cancel()
+	node := g.nodes[0]
+	members := Membership{Members: []Member{{ID: 7, Address: "a", Voter: true}}}
+	node.Receive(Message{
+		Kind: SnapshotRequest, From: 7, To: node.ID(), Term: node.Status().Term + 1,
+		Snapshot: &journaler.Snapshot{Index: 1000, Term: 1, Members: members.encode(), Data: []byte("odd")},
+	})
+	time.Sleep(100 * time.Millisecond)
+	if g.read(t); node.Refused() != 1 {
+		t.Errorf("%d messages refused, want 1", node.Refused())
+	}
+}
+
 // TestNodeRetriesWritesWhileDiskIsFull makes three writes fail with ErrDiskFull. It guards against a node that stops on
 // a full disk instead of continuing once there is free space.
 func TestNodeRetriesWritesWhileDiskIsFull(t *testing.T) {
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -111,6 +111,22 @@
 	return Job{Job: j, Tasks: tasks}
 }
 
+// check returns an error if the tasks are not those of the steps, or a phase is unknown.
+func (j Job) check() error {
+	if err := j.CheckShape(); err != nil {
+		return err
+	}
+	if j.Phase > JobCancelled || len(j.Tasks) != j.Occurrences()*len(j.Steps) {
+		return fmt.Errorf("phase %d and %d instances for %d steps", j.Phase, len(j.Tasks), len(j.Steps))
+	}
+	for instance, tasks := range j.Tasks {
+		if len(tasks) != j.StepOf(instance).Count || slices.ContainsFunc(tasks, func(t Task) bool { return t.Phase > TaskDone }) {
+			return fmt.Errorf("the tasks of instance %d are not those of its step", instance)
+		}
+	}
+	return nil
+}
+
 // Instance returns the index of the instance that a task belongs to.
 func (j Job) Instance(key TaskKey) int { return key.Occurrence*len(j.Steps) + key.Step }
 
--- a/internal/tracker/machine.go
+++ b/internal/tracker/machine.go
@@ -56,6 +56,12 @@
 	return nil
 }
 
+// Check returns an error if Restore would refuse the data of a snapshot.
+func (m *Machine) Check(data []byte) error {
+	_, err := decode(data)
+	return err
+}
+
 // stateSnapshot is the encoded form of a State in snapshots.
 type stateSnapshot struct {
 	Configuration modeler.Configuration `cbor:"1,keyasint"`
@@ -99,7 +105,11 @@
 	s := New()
 	s.Configuration = snapshot.Configuration
 	for _, j := range snapshot.Jobs {
-		s.putJob(Job{j.Job, j.Phase, j.Ended, j.Tasks})
+		restored := Job{j.Job, j.Phase, j.Ended, j.Tasks}
+		if err := restored.check(); err != nil {
+			return State{}, fmt.Errorf("decode job %q: %w", j.Job.ID, err)
+		}
+		s.putJob(restored)
 	}
 	for _, w := range snapshot.Workers {
 		s.workers = s.workers.Set(w.Name, w)
--- a/internal/tracker/odd_test.go
+++ b/internal/tracker/odd_test.go
@@ -82,3 +82,30 @@
 		}
 	})
 }
+
+// TestDamagedSnapshotIsRefused restores snapshots whose jobs contradict themselves.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	valid := newJob(modeler.Job{ID: "j", Steps: []modeler.Step{{Count: 2}, {Count: 1, After: []int{0}}}})
+	tests := map[string]func(*Job){
+		"phase":      func(j *Job) { j.Phase = 9 },
+		"task phase": func(j *Job) { j.Tasks = [][]Task{{{Phase: 7}, {}}, {{}}} },
+		"tasks":      func(j *Job) { j.Tasks = j.Tasks[:1] },
+		"count":      func(j *Job) { j.Tasks = [][]Task{{{}}, {{}}} },
+		"no steps":   func(j *Job) { j.Steps = nil },
+		"dependency": func(j *Job) { j.Steps = []modeler.Step{{Count: 2}, {Count: 1, After: []int{5}}} },
+	}
+	for name, change := range tests {
+		j := valid
+		change(&j)
+		s := New()
+		s.putJob(j)
+		data, err := s.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := NewMachine()
+		if err := m.Restore(1, data); err == nil {
+			t.Errorf("%s: the snapshot is restored, want an error", name)
+		}
+	}
+}
