Refuse a configuration whose numbers overflow

A valid document with a stretch of 1e300, a target near 2^63 or a guarantee of billions was put in force; the objectives and ranks that the planner computes from it overflow, to deadlines in the past for every job of the queue. Check bounds the stretch, target, priority, attempts and guarantees, so that the operator gets 400. TestReplaceKeepsNewestAndRejectsInvalidConfiguration failed before in its five new rows with status 200.

--- a/internal/modeler/configuration.go
+++ b/internal/modeler/configuration.go
@@ -108,10 +108,32 @@
 			return fmt.Errorf("queue %q has the same host and prefix as another queue", q.Name)
 		}
 		routes[route] = true
+		if err := q.check(); err != nil {
+			return fmt.Errorf("queue %q: %w", q.Name, err)
+		}
+	}
+	for _, w := range c.Workspaces {
+		if w.Accelerators < 0 || w.Accelerators > maxAmount {
+			return fmt.Errorf("workspace %q is guaranteed %d accelerators, want 0 to %d", w.Name, w.Accelerators, maxAmount)
+		}
 	}
 	return c.checkKeys()
 }
 
+// maxStretch bounds the product of a stretch and a critical path.
+const maxStretch = 1000
+
+// check returns an error if objectives and ranks that are computed from the queue's settings could overflow.
+func (q Queue) check() error {
+	if q.Stretch < 0 || q.Stretch > maxStretch || q.Target < 0 || q.Target > maxSpan {
+		return fmt.Errorf("the stretch must be from 0 to %d and the target from 0 to %d ms", maxStretch, maxSpan)
+	}
+	if q.Priority < -maxAmount || q.Priority > maxAmount || q.MaxAttempts < 0 {
+		return errors.New("the priority or the number of attempts is out of range")
+	}
+	return nil
+}
+
 func (c Configuration) checkKeys() error {
 	owners := map[string]string{}
 	for _, w := range c.Workspaces {
