Pass over seeds that are no address

One seed of the settings with a port out of range was taken as an address of a replica, and one that does not parse made the process refuse the whole file, at the start as well as at a reload. A seed must be an IP address and a port from 1 to 65535; others are passed over and logged (3016), and settings without any that can be used are refused as before.

--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -137,5 +137,6 @@
 	CallUndecided        = declare(3012, Warning, "call not decided", "No leader answered in time; the caller sends the call again under the same id.")
 	ConfigurationRefused = declare(3014, Info, "configuration refused", "The document cannot be parsed or is inconsistent; nothing changed.")
 	SettingsRefused      = declare(3015, Warning, "settings refused", "The settings file cannot be used. The process keeps its current settings; fix the file.")
+	SeedsIgnored         = declare(3016, Warning, "seeds ignored", "These seeds in the settings file are not an IP address and a port; the process uses the others. Fix the file.")
 	LinesDropped         = declare(3013, Warning, "log lines dropped", "Standard output was not read fast enough. Gives the number of lines dropped.")
 )
