Ignore replica addresses that none can have

A status with an odd address of a leader, which any process may announce at the internal port, hid the leader for good: an address that does not parse failed at each call before it was sent, and only a failed call forgets a leader. An address with a port out of range was handed on to others. Such addresses are no longer learnt, and a call whose connection cannot be made counts as failed and not sent. TestOddAddressesDoNotHideTheLeader failed before: no leader found in 10 s for "\\x7f" and "%zz".

--- a/internal/locator/call.go
+++ b/internal/locator/call.go
@@ -122,7 +122,8 @@
 	address := l.target()
 	conn, err := l.conn(address)
 	if err != nil {
-		return zero, err
+		l.recordFailure(address, false)
+		return zero, &messenger.UnsentError{Cause: err}
 	}
 	if limits.ProbeLeader && !l.LeaderAnsweredWithin(probeAfter) {
 		if err := l.probe(ctx, address, conn); err != nil {
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -1,7 +1,10 @@
 package locator
 
 import (
+	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 
 	"google.golang.org/grpc"
@@ -124,6 +127,9 @@
 	if l.leader != "" {
 		return l.leader
 	}
+	if len(l.seeds)+len(l.members) == 0 {
+		return ""
+	}
 	l.nextAddress++
 	i := l.nextAddress % (len(l.seeds) + len(l.members))
 	if i < len(l.seeds) {
@@ -180,8 +186,13 @@
 	}
 }
 
-// Update merges a status that any process reports. It ignores the leader of an earlier term.
+// Update merges a status that any process reports. It ignores the leader of an earlier term, and addresses that none can
+// have.
 func (l *Locator) Update(s ReplicaStatus) {
+	s.Members = slices.DeleteFunc(slices.Clone(s.Members), func(address string) bool { return !ValidAddress(address) })
+	if !ValidAddress(s.Leader) {
+		s.Leader = ""
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.mergeMembers(s)
@@ -216,6 +227,26 @@
 	return list[:min(len(list), maxMembers)]
 }
 
+const maxAddressBytes = 255
+
+// ValidAddress reports whether address may be that of a replica: a host name or IP address, with a port from 1 to 65535
+// if it has one.
+func ValidAddress(address string) bool {
+	if address == "" || len(address) > maxAddressBytes || strings.ContainsFunc(address, isOddInAddress) {
+		return false
+	}
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return !strings.Contains(address, ":")
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
+func isOddInAddress(r rune) bool {
+	return r <= ' ' || r > '~' || strings.ContainsRune(`%/?#@\"`, r)
+}
+
 func (l *Locator) logLoss() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -268,3 +268,20 @@
 		t.Errorf("got %+v, error %v after %d attempts, want an error that says that the call was sent, after 2", got, err, attempts.Load())
 	}
 }
+
+// TestOddAddressesDoNotHideTheLeader merges a status with odd addresses into a locator that then has to find the leader.
+func TestOddAddressesDoNotHideTheLeader(t *testing.T) {
+	leader := serveReplica(t, func(context.Context, *request) (*response, error) { return &response{Name: "leader"}, nil })
+	for _, odd := range []string{"127.0.0.1:99999", "127.0.0.1:0", "\x7f", "%zz", "::1", ""} {
+		l := New([]string{leader}, logger.Logger{})
+		l.Update(ReplicaStatus{NotLeader: true, Leader: odd, Members: []string{odd}, Term: 1 << 63, Revision: 1 << 63})
+		if got := l.Status(); got.Leader != "" || len(got.Members) > 0 {
+			t.Errorf("%q: the locator hands out %+v, want no address", odd, got)
+		}
+		l.leader = odd // as set by a replica that answered
+		if got, err := callOnce(t, l); err != nil || got.Name != "leader" {
+			t.Errorf("%q: got %+v, error %v", odd, got, err)
+		}
+		l.Close()
+	}
+}
