Refuse odd requests to join

A request with no id, no address or a port out of range became a member of the log, on every replica, and its address was handed to every process; any number of such learners was taken, until ten seconds later. join checks the id and the address, and the membership holds at most 256 members.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 
@@ -243,3 +244,20 @@
 		t.Error("the next attachment gets no lease")
 	}
 }
+
+// TestOddReplicasDoNotJoin sends requests to join that no replica sends, and then more than the membership may hold.
+func TestOddReplicasDoNotJoin(t *testing.T) {
+	c, ctx := startCoordinator(t)
+	for _, r := range []JoinRequest{{Address: "127.0.0.1:5"}, {ID: 9}, {ID: 9, Address: "127.0.0.1:99999"}, {ID: 9, Address: "%zz:1"}} {
+		if _, err := c.join(ctx, &r); err == nil {
+			t.Errorf("%+v joined", r)
+		}
+	}
+	for i := range 2 * maxMembers {
+		// The error does not matter here: a change may be pending, and the last ones are refused.
+		_, _ = c.join(ctx, &JoinRequest{ID: replicator.ReplicaID(100 + i), Address: fmt.Sprintf("127.0.0.1:%d", 100+i)})
+	}
+	if got := len(c.node.Status().Members.Members); got > maxMembers {
+		t.Errorf("%d members, want at most %d", got, maxMembers)
+	}
+}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -22,6 +22,8 @@
 	voterTimeout timekeeper.Millis = 1500
 	// learnerTimeout is how long a learner may be silent before it is removed.
 	learnerTimeout timekeeper.Millis = 10_000
+	// maxMembers bounds the membership, which every replica holds and reports.
+	maxMembers = 256
 	// refusalLogInterval is the shortest time between two lines about ignored messages.
 	refusalLogInterval = 10 * timekeeper.Second
 )
@@ -165,11 +167,18 @@
 
 // join adds a replica as a learner. MaintainMembership makes it a voter once it has caught up and a vote is free.
 func (c *Coordinator) join(ctx context.Context, r *JoinRequest) (*JoinResponse, error) {
+	if r.ID == 0 || !locator.ValidAddress(r.Address) {
+		return nil, fmt.Errorf("add replica: %d at %q is no replica", r.ID, r.Address)
+	}
 	err := c.node.ChangeMembership(ctx, func(m replicator.Membership) (replicator.Membership, error) {
 		if o, member := m.Member(r.ID); member && o.Address == r.Address {
 			return m, errMember
 		}
-		return m.WithLearner(r.ID, r.Address), nil
+		next := m.WithLearner(r.ID, r.Address)
+		if len(next.Members) > maxMembers {
+			return m, errTooManyMembers
+		}
+		return next, nil
 	})
 	switch {
 	case err == nil:
@@ -183,4 +192,7 @@
 	return &JoinResponse{c.reply()}, nil
 }
 
-var errMember = errors.New("already a member")
+var (
+	errMember         = errors.New("already a member")
+	errTooManyMembers = errors.New("there are too many members; silent learners are removed first")
+)
