Count the room for more needs in a plan

Callers would see a job with nothing running beside room for its next task twice over, without bound, while more than 64 jobs with other needs wait before it, none of which is larger than another.

A plan counts the room for maxRoomScans needs, 64, in the order of planning, and takes a job beyond them to have none; the same jobs come first in each plan. The bound is now 512. Counts read the free resources of a pool from one slice, and needs that lack room are kept in a slice of their own, so that the plan takes little longer.

The test failed before: RoomTwice was false.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -34,19 +34,21 @@
 // label, so that a plan costs little more than that pass.
 type planBuilder struct {
 	in               Input
-	candidates       []*candidate                 // unfinished jobs in the order of planning
-	jobs             map[modeler.JobID]*candidate // candidates by job
-	workers          []*workerState               // sorted by worker name
-	workersByName    map[string]*workerState      // workers by name
-	gangs            map[groupKey][]*assignedRun  // runs of gangs, without stopping and nearly done ones
-	pools            map[poolKey]poolList         // eligible workers by service and label
-	idleAccelerators map[string]int               // by service, neither in use nor allocated or reserved
-	inUse            map[string]int               // by service, weight of what runs hold or this plan has allocated
-	unplaceable      map[fitKey]bool              // demands that did not fit on free resources in this plan
-	backfillFailed   map[fitKey]bool              // demands that did not fit even when they overtook in this plan
-	room             map[roomKey]int              // tasks that fit on the workers before the plan, by what was counted
-	roomTaken        map[fitKey]bool              // demands that no longer fit twice over in this plan
-	stopped          map[tracker.RunKey]bool      // runs that this plan stops
+	candidates       []*candidate                    // unfinished jobs in the order of planning
+	jobs             map[modeler.JobID]*candidate    // candidates by job
+	workers          []*workerState                  // sorted by worker name
+	workersByName    map[string]*workerState         // workers by name
+	gangs            map[groupKey][]*assignedRun     // runs of gangs, without stopping and nearly done ones
+	pools            map[poolKey]poolList            // eligible workers by service and label
+	idleAccelerators map[string]int                  // by service, neither in use nor allocated or reserved
+	inUse            map[string]int                  // by service, weight of what runs hold or this plan has allocated
+	unplaceable      map[fitKey]bool                 // demands that did not fit on free resources in this plan
+	backfillFailed   map[fitKey]bool                 // demands that did not fit even when they overtook in this plan
+	room             map[roomKey]int                 // tasks that fit on the workers before the plan, by what was counted
+	idle             map[poolKey][]modeler.Resources // see idleOf
+	lacking          []lackingNeed                   // needs of room that fit less often than wanted
+	roomTaken        map[fitKey]bool                 // demands that no longer fit twice over in this plan
+	stopped          map[tracker.RunKey]bool         // runs that this plan stops
 
 	searches        int // searches for resources that are not free yet
 	reservedWorkers int // workers reserved for waiting batch work in this plan
@@ -72,7 +74,7 @@
 		in:      in,
 		workers: make([]*workerState, 0, len(workers)), workersByName: make(map[string]*workerState, len(workers)),
 		gangs: map[groupKey][]*assignedRun{}, pools: map[poolKey]poolList{}, idleAccelerators: map[string]int{},
-		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, backfillFailed: map[fitKey]bool{}, room: map[roomKey]int{}, roomTaken: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
+		inUse: map[string]int{}, unplaceable: map[fitKey]bool{}, backfillFailed: map[fitKey]bool{}, room: map[roomKey]int{}, idle: map[poolKey][]modeler.Resources{}, roomTaken: map[fitKey]bool{}, stopped: map[tracker.RunKey]bool{},
 	}
 	b.candidates, b.waits.unrouted = rankJobs(in)
 	b.jobs = make(map[modeler.JobID]*candidate, len(b.candidates))
--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -336,3 +336,22 @@
 		t.Errorf("%v start, want two that leave a worker for the gang", starts)
 	}
 }
+
+// TestManyNeedsHideNoRoom guards against a job whose room is not noticed while many jobs with other needs wait before it.
+func TestManyNeedsHideNoRoom(t *testing.T) {
+	sim := newSimulation(t, Plan, 12)
+	occupyAll(sim, 9)
+	const needs = 200
+	for i := range needs {
+		wide := gang(5, 8, 5000)
+		wide.OneRack = false
+		wide.Need.MilliCores, wide.Need.MemoryMB = 20_000+i, 20_000-i
+		sim.submit(fmt.Sprintf("wide%d", i), "plans", "other", 5000, wide)
+	}
+	sim.submit("standing", "checks", "other", 5000, tasks(3, 8, 5000))
+	waits := Decide(sim.input()).Waits
+	i := slices.IndexFunc(waits, func(w Wait) bool { return w.Job == "standing" })
+	if i < 0 || !waits[i].RoomTwice {
+		t.Errorf("the job does not stand beside room: %+v", waits[max(i, 0)])
+	}
+}
--- a/internal/planner/standing.go
+++ b/internal/planner/standing.go
@@ -10,7 +10,7 @@
 const StandingLimit timekeeper.Millis = 1800
 
 // maxRoomScans bounds the needs for which one plan counts the room on all workers, and so the time of the plan.
-const maxRoomScans = 64
+const maxRoomScans = 512
 
 // placeStanding places a demand of a job that has stood beside room for StandingLimit on any free resources: reserved ones,
 // the headroom, and those of workers in doubt. A gang that requires one rack is spread if no rack has room for it.
@@ -66,14 +66,25 @@
 	if b.smallerNeedLacksRoom(key, wanted) || len(b.room) >= maxRoomScans {
 		return false
 	}
-	b.room[key] = b.countRoom(key)
-	return b.room[key] >= wanted
+	fits := b.countRoom(key)
+	b.room[key] = fits
+	if fits < wanted {
+		b.lacking = append(b.lacking, lackingNeed{key, fits})
+	}
+	return fits >= wanted
+}
+
+// lackingNeed is a need that was counted and fits less often than it was wanted.
+type lackingNeed struct {
+	roomKey
+	fits int
 }
 
 // smallerNeedLacksRoom reports whether a need that was counted, and is no larger, fits less often than wanted.
 func (b *planBuilder) smallerNeedLacksRoom(key roomKey, wanted int) bool {
-	for counted, fits := range b.room {
-		if fits < wanted && counted.pool == key.pool && counted.maxPerWorker == key.maxPerWorker && counted.need.Fits(key.need) {
+	for i := range b.lacking {
+		l := &b.lacking[i]
+		if l.fits < wanted && l.need.Fits(key.need) && l.maxPerWorker == key.maxPerWorker && l.pool == key.pool {
 			return true
 		}
 	}
@@ -86,11 +97,25 @@
 		limit = key.maxPerWorker
 	}
 	fits := 0
-	for _, w := range b.poolsOf(key.pool).all().workers {
-		fits += key.need.FitCount(w.info.Free(), limit)
+	for _, free := range b.idleOf(key.pool) {
+		fits += key.need.FitCount(free, limit)
 	}
 	return fits
 }
 
+// idleOf returns what each worker of a pool had free before the plan.
+func (b *planBuilder) idleOf(pool poolKey) []modeler.Resources {
+	if idle, known := b.idle[pool]; known {
+		return idle
+	}
+	workers := b.poolsOf(pool).all().workers
+	idle := make([]modeler.Resources, 0, len(workers))
+	for _, w := range workers {
+		idle = append(idle, w.info.Free())
+	}
+	b.idle[pool] = idle
+	return idle
+}
+
 // maxTasksPerWorker bounds the count of tasks that need next to nothing.
 const maxTasksPerWorker = 10_000
