Keep firmly reserved room from jobs that have stood beside it

Callers would see a wide gang that never starts: with small jobs of 3 s or more that come all the time it had not started after 600 s, where it started after five minutes before the bound on standing jobs. Cause: a job that had stood for 1.8 s took any reserved room, firm reservations included. These are few: for jobs that have waited for five minutes, and while runs are being stopped. A job behind a job that has waited for five minutes may stand for longer, as before.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -272,6 +272,10 @@
 	b.reserve(p)
 	for _, t := range p {
 		t.worker.freeForBackfill = minResources(t.worker.freeForBackfill, t.worker.free)
+		for i := range t.worker.held {
+			h := &t.worker.held[i]
+			h.firm = h.firm || h.job == t.group.job
+		}
 	}
 }
 
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -16,7 +16,8 @@
 // placement holds the placement of each task of a demand, in the order of its tasks.
 type placement []taskPlacement
 
-// resourceView returns the resources of a worker that a placement may use: currentFree, backfillFree or futureFree.
+// resourceView returns the resources of a worker that a placement may use: currentFree, backfillFree, futureFree or
+// freeForStanding.
 type resourceView func(*workerState) modeler.Resources
 
 func currentFree(w *workerState) modeler.Resources  { return w.free }
--- a/internal/planner/wait.go
+++ b/internal/planner/wait.go
@@ -102,6 +102,7 @@
 type holding struct {
 	job  modeler.JobID
 	room modeler.Resources
+	firm bool // the reservation holds against every other job
 }
 
 // noteReservation records the free resources of a worker that a reservation holds for a job. The worker's free resources
@@ -115,7 +116,7 @@
 		b.waits.reservedIdle = map[string]int{}
 	}
 	service := t.worker.info.Profile.Service
-	t.worker.held = append(t.worker.held, holding{t.group.job, room})
+	t.worker.held = append(t.worker.held, holding{job: t.group.job, room: room})
 	b.waits.reservedIdle[service] += idle - b.idleAccelerators[service]
 }
 
