Bound a worker's name in the log when it is refused, and test odd attachments

The leader refuses attachments with odd names or capacities since they are checked; the line about it repeated a name of any length.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -13,13 +13,17 @@
 // that a lease is renewed several times before it ends.
 const WatchTimeout timekeeper.Millis = 1000
 
+// maxLoggedName bounds a name in the log that was refused, in bytes.
+const maxLoggedName = 64
+
 func (c *Coordinator) attach(ctx context.Context, r *AttachRequest) (*AttachResponse, error) {
 	if c.confirm(ctx) != nil {
 		return &AttachResponse{Reply: c.notLeader()}, nil
 	}
 	a := r.Attach
 	if err := a.Check(); err != nil {
-		c.log.Log(logger.WorkerAttached, logger.F("worker", a.Worker), logger.F("accepted", false), logger.F("error", err))
+		name := a.Worker[:min(len(a.Worker), maxLoggedName)]
+		c.log.Log(logger.WorkerAttached, logger.F("worker", name), logger.F("accepted", false), logger.F("error", err))
 		return &AttachResponse{Reply: c.reply()}, nil
 	}
 	answer, err := c.propose(ctx, tracker.Command{Attach: &a})
--- a/internal/coordinator/agents_test.go
+++ b/internal/coordinator/agents_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"math"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
 
@@ -48,3 +51,25 @@
 		t.Fatalf("watch: %v, lost %v", err, response.Lost)
 	}
 }
+
+// TestOddWorkersAreNotAttached attaches workers with odd names and capacities.
+func TestOddWorkersAreNotAttached(t *testing.T) {
+	c, ctx := startCoordinator(t)
+	valid := tracker.Attach{Worker: "w", Incarnation: tracker.Incarnation{ID: "r"}, Profile: tracker.Profile{Capacity: modeler.Resources{MilliCores: 1000}}}
+	tests := map[string]func(*tracker.Attach){
+		"valid":        func(*tracker.Attach) {},
+		"no name":      func(a *tracker.Attach) { a.Worker = "" },
+		"long name":    func(a *tracker.Attach) { a.Worker = strings.Repeat("w", 100_000) },
+		"long label":   func(a *tracker.Attach) { a.Profile.Labels = []string{strings.Repeat("l", 100_000)} },
+		"negative":     func(a *tracker.Attach) { a.Profile.Capacity.MemoryMB = -1 },
+		"out of range": func(a *tracker.Attach) { a.Profile.Capacity.Accelerators = math.MaxInt },
+	}
+	for name, change := range tests {
+		a := valid
+		change(&a)
+		response, err := c.attach(ctx, &AttachRequest{Attach: a})
+		if err != nil || response.Accepted != (name == "valid") {
+			t.Errorf("%s: accepted %v, error %v", name, response != nil && response.Accepted, err)
+		}
+	}
+}
