Count responses to a deposed leader as no damage

A replica that led and restarted within its term would have counted late responses to its reads as ignored messages, which the log would report as damage. Only a leader checks what a response acknowledges; others ignore it as before. Found by reading; no run has shown it.

--- a/internal/replicator/plausible.go
+++ b/internal/replicator/plausible.go
@@ -22,7 +22,7 @@
 	case SnapshotRequest:
 		return m.Snapshot == nil || plausibleSnapshot(m.Term, *m.Snapshot)
 	case AppendResponse:
-		return m.Term != c.term || m.ReadRound <= c.readRound && (m.Reject || m.Index <= c.log.last())
+		return c.role != Leader || m.Term != c.term || m.ReadRound <= c.readRound && (m.Reject || m.Index <= c.log.last())
 	case VoteRequest, VoteResponse, PreVoteRequest, PreVoteResponse, TimeoutNow:
 		return true
 	}
