Acknowledge only ends that the last listing contains

What callers see: a task that is done may run again. Cause: every poll carried the number of the last committed end, also when the runner listed none. A runner that has restarted under its id counts from one again and discards its own ends up to that number; they were never seen.

Evidence: TestOnlyListedEndsAreAcknowledged.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -55,7 +55,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	old := e.announcement
-	if a.Incarnation != old.Incarnation || old.disproves(a) {
+	if a.Incarnation != old.Incarnation || old.disprovedBy(a) {
 		e.candidate, e.candidateAt = a, e.clock.Now()
 		wake(e.candidates)
 		return
--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -39,7 +39,19 @@
 func (s *session) nextPoll() (PollRequest, int) {
 	s.polling = true
 	s.sentPolls++
-	return PollRequest{Epoch: s.epoch, Acknowledged: s.committedEnd, LeaseEnd: s.leaseEnd, Wait: s.pollWait()}, s.sentPolls
+	return PollRequest{Epoch: s.epoch, Acknowledged: s.acknowledged(), LeaseEnd: s.leaseEnd, Wait: s.pollWait()}, s.sentPolls
+}
+
+// acknowledged returns the number of the last committed end in the last listing. It is zero if that has none: a runner
+// that has restarted under its id would discard ends of its own up to a number that an earlier incarnation reached.
+func (s *session) acknowledged() int {
+	last := 0
+	for _, end := range s.listing.Finished {
+		if end.Number <= s.committedEnd {
+			last = max(last, end.Number)
+		}
+	}
+	return last
 }
 
 // pollWait returns how long the runner may delay its response. It is zero while the session needs a listing at once:
--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -31,10 +31,10 @@
 // maxSequence is far above what a runner reaches, so that differences of sequence numbers do not overflow.
 const maxSequence = 1 << 53
 
-// disproves reports whether a, a later announcement of the same incarnation, shows that the runner has not terminated
+// disprovedBy reports whether a later announcement of the same incarnation shows that the runner has not terminated
 // although it was deregistered. A runner that terminates drains before.
-func (old Announcement) disproves(a Announcement) bool {
-	return old.Deregistered && !old.Draining && !a.Draining && a.Sequence > old.Sequence
+func (a Announcement) disprovedBy(later Announcement) bool {
+	return a.Deregistered && !a.Draining && !later.Draining && later.Sequence > a.Sequence
 }
 
 // Verdict is the outcome of a request to a runner.
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -258,3 +258,17 @@
 		t.Error("the session continues although the runner's clock went back")
 	}
 }
+
+// TestOnlyListedEndsAreAcknowledged guards against a runner that restarts under its id and discards ends that the agent
+// has not seen, since their numbers are below those of its earlier incarnation.
+func TestOnlyListedEndsAreAcknowledged(t *testing.T) {
+	s := newTestSession(t, &fakeRunner{}, Listing{})
+	s.committedEnd = 40
+	if request, _ := s.nextPoll(); request.Acknowledged != 0 {
+		t.Errorf("acknowledged %d without a listed end, want 0", request.Acknowledged)
+	}
+	s.handlePollResult(pollResult{serial: 2, listing: Listing{Finished: []tracker.End{{Number: 40, Run: testRun(0)}, {Number: 41, Run: testRun(1)}}}, verdict: VerdictDone})
+	if request, _ := s.nextPoll(); request.Acknowledged != 40 {
+		t.Errorf("acknowledged %d, want 40", request.Acknowledged)
+	}
+}
