Return runs that the runner does not start within 1.2 s

A run whose starts got no answer stood for 6 tries of 0.7 s and their pauses, 5.1 s and more by the constants, then for a stop, and then until the poll in flight was answered, which may wait for an end for 1 or 2 s; only then did its task start elsewhere. A run that an unhealthy runner refused went the same way, although a refused start leaves nothing to stop.

An agent whose runner answers polls gives the run back 1.2 s after its first start. If each start was refused, it gives it back without a stop. A poll that waits is broken off when a start gets no answer or a run is fenced, so that the next listing shows at once what became of it. A runner that answers nothing gets further starts as before, since it could confirm no stop.

While the runner listed ends that were not committed, each poll was answered at once and the next one was sent without pause; such polls are now 50 ms apart.

--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/logger"
@@ -14,6 +15,8 @@
 	activePollWait timekeeper.Millis = 1000
 	// idlePollWait is how long an idle runner may delay its response: the maximum that the platform allows.
 	idlePollWait timekeeper.Millis = 2000
+	// noNewsPause is the pause before a poll that the runner would answer at once without news.
+	noNewsPause = 50 * time.Millisecond
 	// pollGrace is how much longer than its wait a poll may take.
 	pollGrace = 800 * time.Millisecond
 	// unresponsiveAfter is the number of consecutive failed polls after which the agent asks the leader for no more
@@ -24,17 +27,40 @@
 // poll starts a call that renews the lease and fetches a listing from the runner.
 func (s *session) poll(ctx context.Context) {
 	request, serial := s.nextPoll()
+	pause := s.pollPause()
+	call, cancel := context.WithTimeout(ctx, pause+request.Wait.Duration()+pollGrace)
+	s.interrupt = nil
+	if request.Wait > 0 {
+		s.interrupt = cancel
+	}
 	go func() {
-		call, cancel := context.WithTimeout(ctx, request.Wait.Duration()+pollGrace)
 		defer cancel()
+		sleep(call, pause)
 		listing, verdict, err := s.runner.Poll(call, request)
-		if err != nil {
+		interrupted := errors.Is(call.Err(), context.Canceled)
+		if err != nil && !interrupted {
 			sleep(ctx, retryDelay.Duration())
 		}
-		s.pollResults <- pollResult{serial, listing, s.agent.clock.Now(), verdict, err}
+		s.pollResults <- pollResult{serial, interrupted, listing, s.agent.clock.Now(), verdict, err}
 	}()
 }
 
+// pollPause returns the pause before the next poll. It is zero unless the runner answers at once, since it lists ends
+// that it may not discard yet, and has no news.
+func (s *session) pollPause() time.Duration {
+	if n := len(s.listing.Finished); n == 0 || s.listing.Finished[n-1].Number > s.listedEnd {
+		return 0
+	}
+	return noNewsPause
+}
+
+// interruptPoll ends a poll that waits for an end, so that the next one shows what became of a call.
+func (s *session) interruptPoll() {
+	if s.polling && s.interrupt != nil {
+		s.interrupt()
+	}
+}
+
 // nextPoll marks a poll as sent and returns its request and number.
 func (s *session) nextPoll() (PollRequest, int) {
 	s.polling = true
@@ -61,7 +87,7 @@
 		return 0
 	}
 	for _, r := range s.runs {
-		if r.awaitsListing() {
+		if r.needsListing(s.answeredPoll) {
 			return 0
 		}
 	}
@@ -74,6 +100,8 @@
 func (s *session) handlePollResult(r pollResult) {
 	s.polling = false
 	switch {
+	case r.err != nil && r.interrupt:
+		return
 	case r.err != nil:
 		s.handlePollFailure(r.err)
 		return
@@ -94,6 +122,9 @@
 	s.failedPolls = 0
 	s.answeredPoll = r.serial
 	s.credibleEnd = lastCredible(max(s.credibleEnd, s.committedEnd), s.listing.Finished, r.listing.Finished)
+	if n := len(s.listing.Finished); n > 0 {
+		s.listedEnd = s.listing.Finished[n-1].Number
+	}
 	s.listing = r.listing
 	s.clock = clockSample{r.listing.Clock, r.receivedAt}
 	s.reconcile()
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -11,10 +11,15 @@
 )
 
 const (
-	// callTimeout bounds a start or stop. It can be short because the runner is on the same host.
-	callTimeout = 700 * time.Millisecond
+	// startTimeout bounds one start. It is short because the runner is on the same host and a start may be repeated.
+	startTimeout = 400 * time.Millisecond
+	// stopTimeout bounds one stop.
+	stopTimeout = 700 * time.Millisecond
 	// maxStartAttempts is the number of failed starts after which the run is returned to the leader.
 	maxStartAttempts = 6
+	// startLimit is the time after the first start from which a run is returned to the leader if the runner answers polls
+	// but has not confirmed the start.
+	startLimit timekeeper.Millis = 1200
 )
 
 // run is the state of one run in a session. Only the session's goroutine accesses it.
@@ -24,12 +29,17 @@
 	ended          bool              // the last listing contains its end
 	committed      bool              // its end is committed to the log
 	startSent      bool              // this session has sent a start
+	firstSentAt    timekeeper.Millis // when it sent the first one
+	mayHaveStarted bool              // a start was sent that the runner has not refused, so it may be carried out, now or later
+	unansweredPoll int               // number of the last poll sent before a start turned out to be unanswered; zero if none
+	abandoned      bool              // the session sends no further start
 	startConfirmed bool              // the runner has confirmed a start of this session
 	fencedAtPoll   int               // a listing of a later poll that lacks the run proves that it can no longer start; zero if not fenced
 	provedAbsent   bool              // the runner does not execute the run and can no longer start it
 	stopConfirmed  bool              // the runner has confirmed a stop
 	inFlight       bool              // a start or stop is in flight
 	failedStarts   int               // number of failed starts
+	sentAt         timekeeper.Millis // when the last start or stop was sent
 	notBefore      timekeeper.Millis // earliest time of the next start or stop
 	startedAt      timekeeper.Millis // when the only start sent was confirmed; zero if none was confirmed or a start failed
 	duration       timekeeper.Millis // from startedAt until the arrival of the first listing with its end
@@ -51,13 +61,18 @@
 	return r.fencedAtPoll > 0 && !r.listed && !r.ended && !r.provedAbsent && !r.committed
 }
 
+// needsListing reports whether the last poll answered is too old to show what became of a start or stop.
+func (r *run) needsListing(answeredPoll int) bool {
+	return r.awaitsListing() || !r.converged() && r.unansweredPoll >= answeredPoll && r.unansweredPoll > 0
+}
+
 // missingEnd returns the kind of end to report for a run that the runner does not list and never will. It returns zero
 // for any other run.
 func (r *run) missingEnd() tracker.EndKind {
 	if r.committed || r.ended || r.listed || !r.provedAbsent {
 		return 0
 	}
-	if r.failedStarts >= maxStartAttempts {
+	if r.abandoned && r.failedStarts > 0 {
 		return tracker.EndNeverStarted
 	}
 	return tracker.EndLost
@@ -140,37 +155,52 @@
 	// A run assigned under an earlier attachment may already have run, and its end may be lost. If the runner lists it,
 	// the session adopts it; the session never starts it.
 	inherited := r.assignment.Epoch != s.epoch
-	mustStop := r.assignment.Stop || draining || inherited || r.failedStarts >= maxStartAttempts
+	r.abandoned = r.abandoned || s.abandons(r, now)
+	mustStop := r.assignment.Stop || draining || inherited || r.abandoned
 	switch {
-	case mustStop && !r.startSent && !r.listed:
+	case mustStop && !r.mayHaveStarted && !r.listed:
 		// The runner saw this attachment's fencing token before it made its last listing, so it rejects starts of
 		// earlier attachments.
 		r.provedAbsent = true
 	case mustStop:
-		s.sendStop(ctx, r)
+		s.sendStop(ctx, r, now)
 	case s.leaseEnd > 0:
-		s.sendStart(ctx, r)
+		s.sendStart(ctx, r, now)
+	}
+}
+
+// abandons reports whether the session sends no further start of a run. A runner that answers nothing may only be
+// suspended, and could confirm no stop either.
+func (s *session) abandons(r *run, now timekeeper.Millis) bool {
+	if !r.startSent {
+		return false
 	}
+	answers := s.answeredPoll > 0 && s.clock.receivedAt > r.firstSentAt
+	return r.failedStarts >= maxStartAttempts || answers && now-r.firstSentAt >= startLimit
 }
 
-func (s *session) sendStart(ctx context.Context, r *run) {
-	r.inFlight, r.startSent = true, true
+func (s *session) sendStart(ctx context.Context, r *run, now timekeeper.Millis) {
+	if !r.startSent {
+		r.firstSentAt = now
+	}
+	certain := !r.mayHaveStarted
+	r.sentAt, r.inFlight, r.startSent, r.mayHaveStarted = now, true, true, true
 	request := StartRequest{Run: r.assignment.Run, Payload: r.assignment.Payload, Checkpoint: r.assignment.Checkpoint, LeaseEnd: s.leaseEnd, Epoch: s.epoch}
 	go func() {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
 		verdict, err := s.runner.Start(call, request)
-		s.deliver(ctx, callResult{r, false, verdict, err})
+		s.deliver(ctx, callResult{run: r, onlyStart: certain, verdict: verdict, err: err})
 	}()
 }
 
-func (s *session) sendStop(ctx context.Context, r *run) {
-	r.inFlight = true
+func (s *session) sendStop(ctx context.Context, r *run, now timekeeper.Millis) {
+	r.sentAt, r.inFlight = now, true
 	go func() {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
+		call, cancel := context.WithTimeout(ctx, stopTimeout)
 		defer cancel()
 		verdict, err := s.runner.Stop(call, r.assignment.Run, s.epoch)
-		s.deliver(ctx, callResult{r, true, verdict, err})
+		s.deliver(ctx, callResult{run: r, stop: true, verdict: verdict, err: err})
 	}()
 }
 
@@ -184,7 +214,7 @@
 func (s *session) handleCallResult(result callResult) {
 	r := result.run
 	r.inFlight = false
-	r.notBefore = s.agent.clock.Now() + retryDelay
+	r.notBefore = r.sentAt + retryDelay
 	if result.err == nil && (result.verdict == VerdictFenced || result.verdict == VerdictWrongRunner) {
 		s.detach("the runner rejected a request: " + result.verdict.String())
 		return
@@ -205,8 +235,15 @@
 		s.agent.log.Log(logger.RunStarted, logger.F("job", string(r.assignment.Run.Task.Job)), logger.F("run", r.assignment.Run.String()), logger.F("epoch", s.epoch))
 		return
 	}
-	if result.err == nil && result.verdict == VerdictStale {
+	switch {
+	case result.err != nil:
+		r.unansweredPoll = s.sentPolls
+		s.interruptPoll()
+	case result.verdict == VerdictStale:
 		r.fencedAtPoll = s.sentPolls
+		s.interruptPoll()
+	default:
+		r.mayHaveStarted = r.mayHaveStarted && !result.onlyStart // the runner did nothing
 	}
 	if result.verdict != VerdictLeaseExpired {
 		r.failedStarts++
@@ -223,5 +260,8 @@
 		return
 	}
 	r.stopConfirmed, r.fencedAtPoll = true, s.sentPolls
+	if r.awaitsListing() {
+		s.interruptPoll()
+	}
 	s.agent.log.Log(logger.RunStopped, logger.F("job", string(r.assignment.Run.Task.Job)), logger.F("run", r.assignment.Run.String()), logger.F("epoch", s.epoch))
 }
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// retryDelay is the pause before a failed start or stop is sent again.
+	// retryDelay is the time from a failed start or stop until it is sent again, and the pause after a failed poll.
 	retryDelay timekeeper.Millis = 150
+	// tickInterval is how often a session looks for calls to repeat while there may be any.
+	tickInterval = 50 * time.Millisecond
 	// callResultBuffer is the number of results of starts and stops that are buffered; beyond it, their goroutines
 	// block.
 	callResultBuffer = 64
@@ -41,12 +43,14 @@
 	runs              map[tracker.RunKey]*run
 	orphans           map[tracker.RunKey]*run // running on the runner but not assigned
 	listing           Listing
-	answeredPoll      int // number of the last poll that succeeded; zero if none
-	sentPolls         int // number of polls sent
-	failedPolls       int // consecutive failed polls
-	committedEnd      int // number of the last end that is committed to the log
-	reportedEnd       int // number of the last end that was reported
-	credibleEnd       int // number of the last listed end that may be reported
+	answeredPoll      int                // number of the last poll that succeeded; zero if none
+	sentPolls         int                // number of polls sent
+	failedPolls       int                // consecutive failed polls
+	committedEnd      int                // number of the last end that is committed to the log
+	reportedEnd       int                // number of the last end that was reported
+	credibleEnd       int                // number of the last listed end that may be reported
+	listedEnd         int                // number of the last end in the listing before the last one
+	interrupt         context.CancelFunc // ends the poll in flight; nil if it will be answered at once
 
 	watching, polling, reporting bool
 	watchResults                 chan watchResult
@@ -65,6 +69,7 @@
 
 type pollResult struct {
 	serial     int
+	interrupt  bool // the session has interrupted the poll
 	listing    Listing
 	receivedAt timekeeper.Millis
 	verdict    Verdict
@@ -78,10 +83,11 @@
 }
 
 type callResult struct {
-	run     *run
-	stop    bool
-	verdict Verdict
-	err     error
+	run       *run
+	stop      bool
+	onlyStart bool // no earlier start may have been carried out
+	verdict   Verdict
+	err       error
 }
 
 func newSession(e *Executor, a Announcement, receivedAt timekeeper.Millis, epoch uint64) *session {
@@ -98,7 +104,7 @@
 func (s *session) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ticker := time.NewTicker(retryDelay.Duration())
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for !s.closed && ctx.Err() == nil {
 		s.startCalls(ctx)
--- a/internal/executor/simworker_test.go
+++ b/internal/executor/simworker_test.go
@@ -192,7 +192,10 @@
 	result := <-s.callResults
 	arriveAt := w.sim.now + w.sim.delay()
 	if result.err != nil {
-		arriveAt = w.sim.now + timekeeper.Millis(callTimeout.Milliseconds())
+		arriveAt = w.sim.now + timekeeper.FromDuration(stopTimeout)
+		if !result.stop {
+			arriveAt = w.sim.now + timekeeper.FromDuration(startTimeout)
+		}
 	}
 	w.pending = append(w.pending, pendingResult{arriveAt: arriveAt, handle: func() {
 		s.handleCallResult(result)
