End assigned runs that no agent was told of after a second

A run that the leader assigns to a worker whose agent does not call, as while it is stopped and started or starved of its core, stood there until the worker's lease ended (9.99 s by the constants if runners accept 10 s; not measured). Only then did its task start elsewhere. Nothing had run meanwhile.

Such a run cannot have started, since no agent knows of it. The leader that assigned it is the only one that can have sent it, because watches are now answered from a state that was read before the quorum's confirmation. It declares such a run lost after one second without a watch, in the term in which it was assigned (ProposeInTerm), never sends it afterwards, and gives the worker nothing new until its agent calls. A worker whose agent breaks off its watch gets no new runs at once, in place of after 2.3 s. With the withdrawal disabled TestRunThatNoAgentAsksForStartsElsewhere fails (still on w0 after 2 s), without the look at broken watches TestWorkerWhoseAgentBreaksOffGetsNoNewRuns.

A watch at a replica that loses the leadership is answered at once, so that agents look for the next leader without waiting for the rest of the second; TestWatchEndsWhenReplicaDoesNotLead took 1.0 s before.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
@@ -52,11 +53,14 @@
 		c.waitForChange(ctx, r)
 		return &WatchResponse{Reply: c.reply(), Version: r.KnownVersion}, nil
 	}
+	c.starts.watchBegins(r.Worker)
+	defer func() { c.starts.watchEnds(r.Worker, c.clock.Now(), ctx.Err() != nil) }()
 	c.waitForChange(ctx, r)
+	state := c.machine.State() // read before the confirmation, so that it holds no run that another leader has assigned
 	if c.confirm(ctx) != nil {
 		return &WatchResponse{Reply: c.notLeader()}, nil
 	}
-	return c.watchResponse(r), nil
+	return c.watchResponse(r, state), nil
 }
 
 func (c *Coordinator) recordDraining(ctx context.Context, r *WatchRequest, now timekeeper.Millis) {
@@ -82,6 +86,9 @@
 		if !ok || w.Detached || w.Epoch != r.Epoch || w.ModifiedIndex != r.KnownVersion {
 			return
 		}
+		if c.node.Status().Role != replicator.Leader {
+			return // the agent looks for the new leader
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -90,8 +97,7 @@
 	}
 }
 
-func (c *Coordinator) watchResponse(r *WatchRequest) *WatchResponse {
-	state := c.machine.State()
+func (c *Coordinator) watchResponse(r *WatchRequest, state tracker.State) *WatchResponse {
 	w, ok := state.Worker(r.Worker)
 	if !ok || w.Detached || w.Epoch != r.Epoch {
 		return &WatchResponse{Reply: c.reply(), Lost: true}
@@ -105,6 +111,9 @@
 		return response
 	}
 	for _, run := range w.Runs {
+		if !c.starts.send(run.Key) {
+			continue
+		}
 		assignment := Assignment{Run: run.Key, Stop: run.Stopping, Epoch: run.Epoch}
 		if j, ok := state.Job(run.Key.Task.Job); ok && !run.Stopping {
 			t, _ := j.Task(run.Key.Task)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,7 +38,9 @@
 	confirmer     confirmer
 	observer      *observer
 	leases        *leases
+	starts        *starts
 	submissions   submissions
+	term          uint64            // that this replica leads, or zero; used by Lead alone
 	jobsDroppedAt timekeeper.Millis // when ended jobs were last dropped; used by Lead alone
 	waits         waitRecorder      // used by Lead alone
 }
@@ -50,6 +52,7 @@
 		confirmer: confirmer{read: node.Read},
 		observer:  newObserver(),
 		leases:    newLeases(settings.Lease),
+		starts:    newStarts(),
 	}
 }
 
@@ -124,6 +127,20 @@
 		return tracker.Answer{}, fmt.Errorf("encode command: %w", err)
 	}
 	value, err := c.node.Propose(ctx, data)
+	return commandAnswer(value, err)
+}
+
+// proposeInTerm is like propose, but fails unless this replica leads in the given term.
+func (c *Coordinator) proposeInTerm(ctx context.Context, term uint64, command tracker.Command) (tracker.Answer, error) {
+	data, err := encoder.Marshal(command)
+	if err != nil {
+		return tracker.Answer{}, fmt.Errorf("encode command: %w", err)
+	}
+	value, err := c.node.ProposeInTerm(ctx, term, data)
+	return commandAnswer(value, err)
+}
+
+func commandAnswer(value any, err error) (tracker.Answer, error) {
 	if err != nil {
 		return tracker.Answer{}, fmt.Errorf("propose: %w", err)
 	}
--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -25,13 +25,12 @@
 
 // Lead plans runs and detaches lost workers while this replica leads, until ctx ends.
 func (c *Coordinator) Lead(ctx context.Context) error {
-	var term uint64
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
 		changed := c.node.Changed()
-		term = c.updateTerm(term)
-		if term != 0 {
+		c.term = c.updateTerm(c.term)
+		if c.term != 0 {
 			c.step(ctx)
 		}
 		select {
@@ -56,6 +55,7 @@
 	}
 	if status.Term != leading {
 		c.leases.reset(c.clock.Now())
+		c.starts.reset()
 		c.dropWaits()
 		c.log.Log(logger.LeadershipAcquired, logger.F("term", status.Term), logger.F("commit", status.CommitIndex), logger.F("members", len(status.Members.Members)))
 	}
@@ -70,6 +70,7 @@
 		return
 	}
 	c.detachExpired(ctx)
+	c.withdrawUnsent(ctx)
 	c.plan(ctx)
 	c.dropEndedJobs(ctx)
 }
@@ -99,6 +100,28 @@
 	}
 }
 
+// withdrawUnsent ends the assigned runs for which no agent has asked, so that they start elsewhere. It does so only in
+// the term in which they were assigned: another leader may have sent them.
+func (c *Coordinator) withdrawUnsent(ctx context.Context) {
+	state := c.machine.State()
+	for worker, runs := range c.starts.withdraw(state, c.clock.Now()) {
+		w, _ := state.Worker(worker)
+		report := tracker.Report{Worker: worker, Epoch: w.Epoch, At: c.wall.Now()}
+		for _, key := range runs {
+			report.Ends = append(report.Ends, tracker.End{Run: key, Kind: tracker.EndLost})
+		}
+		answer, err := c.proposeInTerm(ctx, c.term, tracker.Command{Report: &report})
+		if err != nil {
+			c.log.Log(logger.ProposalFailed, logger.F("worker", worker), logger.F("error", err)) // the next step retries
+			continue
+		}
+		for _, key := range runs {
+			c.log.Log(logger.RunWithdrawn, logger.F("job", string(key.Task.Job)), logger.F("run", key.String()), logger.F("worker", worker), logger.F("index", answer.Index))
+			c.meter.Count("runs_ended", "", worker, "withdrawn")
+		}
+	}
+}
+
 func (c *Coordinator) plan(ctx context.Context) {
 	started := time.Now()
 	now := c.clock.Now()
@@ -113,6 +136,7 @@
 	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
 		return
 	}
+	c.starts.assign(plan.Starts, now)
 	answer, err := c.propose(ctx, tracker.Command{Assign: &plan})
 	if err != nil {
 		c.log.Log(logger.ProposalFailed, logger.F("starts", len(plan.Starts)), logger.F("stops", len(plan.Stops)), logger.F("error", err))
@@ -124,7 +148,7 @@
 func (c *Coordinator) unresponsiveWorkers(state tracker.State, now timekeeper.Millis) map[string]bool {
 	unresponsive := map[string]bool{}
 	for _, w := range state.Workers() {
-		if !w.Detached && c.leases.silent(w.Name, now, agentTimeout) {
+		if !w.Detached && (c.leases.silent(w.Name, now, agentTimeout) || c.starts.agentAbsent(w.Name)) {
 			unresponsive[w.Name] = true
 		}
 	}
--- /dev/null
+++ b/internal/coordinator/starts.go
@@ -0,0 +1,165 @@
+package coordinator
+
+import (
+	"sync"
+
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+const (
+	// unsentLimit is how long a run may wait for a watch of its worker's agent before it is withdrawn. An agent that
+	// works sends its next watch at once.
+	unsentLimit timekeeper.Millis = 1000
+	// withdrawnRetention is how long a withdrawn run is remembered: longer than any watch.
+	withdrawnRetention = timekeeper.Minute
+)
+
+// starts tracks the runs that this leader has assigned, until they begin. It is safe for concurrent use; mu guards the
+// fields below it.
+//
+// A run that was sent to no agent cannot start. The leader that assigned it may withdraw it without waiting for the
+// worker's lease to end, since it alone can have sent it: a watch is answered only with runs of a state that was read
+// before a quorum confirmed the leadership.
+type starts struct {
+	mu      sync.Mutex
+	runs    map[tracker.RunKey]*assignedRun
+	watches map[string]*watchRecord // by worker
+}
+
+// assignedRun is what the leader knows of a run that it has assigned.
+type assignedRun struct {
+	worker      string
+	assignedAt  timekeeper.Millis
+	sent        bool              // in an answer to the worker's agent
+	withdrawnAt timekeeper.Millis // zero if it was not withdrawn; it is never sent afterwards
+}
+
+// watchRecord tells whether a worker's agent waits for an answer to a watch.
+type watchRecord struct {
+	open    int
+	endedAt timekeeper.Millis // when the last one ended
+	absent  bool              // the agent broke the last one off, or asked for no run in time, and has not called since
+}
+
+func newStarts() *starts {
+	return &starts{runs: map[tracker.RunKey]*assignedRun{}, watches: map[string]*watchRecord{}}
+}
+
+// reset forgets the runs that were assigned in an earlier term, which another leader may have sent.
+func (s *starts) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range s.runs {
+		if r.withdrawnAt == 0 {
+			delete(s.runs, key)
+		}
+	}
+}
+
+// assign records runs that are about to be proposed.
+func (s *starts) assign(list []tracker.Start, now timekeeper.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, start := range list {
+		s.runs[start.Run] = &assignedRun{worker: start.Worker, assignedAt: now}
+	}
+}
+
+// send records that a run is sent to its agent. It returns false for a withdrawn run, which must not be sent.
+func (s *starts) send(run tracker.RunKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runs[run]
+	if r == nil {
+		return true
+	}
+	if r.withdrawnAt > 0 {
+		return false
+	}
+	r.sent = true
+	return true
+}
+
+// watchBegins records that a worker's agent waits for an answer.
+func (s *starts) watchBegins(worker string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watchRecord(worker)
+	w.open++
+	w.absent = false
+}
+
+// watchRecord returns the record of a worker. The caller holds mu.
+func (s *starts) watchRecord(worker string) *watchRecord {
+	w := s.watches[worker]
+	if w == nil {
+		w = &watchRecord{}
+		s.watches[worker] = w
+	}
+	return w
+}
+
+// watchEnds records that a watch was answered, or that the agent broke it off.
+func (s *starts) watchEnds(worker string, now timekeeper.Millis, broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watchRecord(worker)
+	w.open--
+	w.endedAt, w.absent = now, broken
+}
+
+// agentAbsent reports whether a worker's agent has broken off its last watch, or has let a run wait for too long, and
+// has not called since.
+func (s *starts) agentAbsent(worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.watches[worker]
+	return w != nil && w.open == 0 && w.absent
+}
+
+// withdraw returns the runs of the state, by worker, that were sent to no agent in unsentLimit because the agent did not
+// ask for them, and those withdrawn before. They are not sent any more, so that they may be declared lost.
+func (s *starts) withdraw(state tracker.State, now timekeeper.Millis) map[string][]tracker.RunKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := map[string][]tracker.RunKey{}
+	for key, r := range s.runs {
+		switch {
+		case !isAssigned(state, r.worker, key):
+			if now-max(r.assignedAt, r.withdrawnAt) > withdrawnRetention {
+				delete(s.runs, key)
+			}
+			continue
+		case r.withdrawnAt == 0 && !s.unsent(r, now):
+			continue
+		case r.withdrawnAt == 0:
+			r.withdrawnAt = now
+			s.watchRecord(r.worker).absent = true
+		}
+		list[r.worker] = append(list[r.worker], key)
+	}
+	return list
+}
+
+// unsent reports whether a run was sent to no agent in unsentLimit, for want of a watch. The caller holds mu.
+func (s *starts) unsent(r *assignedRun, now timekeeper.Millis) bool {
+	since := r.assignedAt
+	if w := s.watches[r.worker]; w != nil {
+		if w.open > 0 {
+			return false
+		}
+		since = max(since, w.endedAt)
+	}
+	return !r.sent && now-since > unsentLimit
+}
+
+// isAssigned reports whether a worker holds a run.
+func isAssigned(state tracker.State, worker string, key tracker.RunKey) bool {
+	j, ok := state.Job(key.Task.Job)
+	if !ok {
+		return false
+	}
+	t, ok := j.Task(key.Task)
+	return ok && t.Phase == tracker.TaskAssigned && t.Attempt == key.Attempt && t.Worker == worker
+}
--- /dev/null
+++ b/internal/coordinator/starts_test.go
@@ -0,0 +1,166 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/meter"
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// startWithJob returns a coordinator with a long lease, the worker w0, and a run that is assigned to it.
+func startWithJob(t *testing.T) (*Coordinator, context.Context, tracker.RunKey) {
+	t.Helper()
+	c, ctx := startCoordinator(t)
+	c.leases = newLeases(timekeeper.Minute)
+	c.term = c.updateTerm(0)
+	first := configuration(1, "/q/", "key")
+	if _, err := c.propose(ctx, tracker.Command{Configure: &first}); err != nil {
+		t.Fatal(err)
+	}
+	attachWorker(ctx, t, c, "w0")
+	job := modeler.Job{ID: "job", Queue: "q", Workspace: "w", Steps: []modeler.Step{{Count: 1, Need: modeler.Resources{Accelerators: 1}, Estimate: 1000}}}
+	if _, err := c.propose(ctx, tracker.Command{Submit: &job}); err != nil {
+		t.Fatal(err)
+	}
+	c.step(ctx)
+	key := tracker.RunKey{Task: tracker.TaskKey{Job: "job"}, Attempt: 1}
+	if !isAssigned(c.machine.State(), "w0", key) {
+		t.Fatal("the run is not assigned to w0")
+	}
+	return c, ctx, key
+}
+
+func attachWorker(ctx context.Context, t *testing.T, c *Coordinator, name string) {
+	t.Helper()
+	_, err := c.attach(ctx, &AttachRequest{Attach: tracker.Attach{
+		Worker: name, Incarnation: tracker.Incarnation{ID: name, StartedAt: 1}, AgentProcess: "p",
+		Profile: tracker.Profile{Service: "app", Labels: []string{"a", "r"}, Capacity: modeler.Resources{Accelerators: 1}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRunThatNoAgentAsksForStartsElsewhere guards against a run that stands until a lease ends because the agent of its
+// worker does not call, although no agent was told of it.
+func TestRunThatNoAgentAsksForStartsElsewhere(t *testing.T) {
+	c, ctx, key := startWithJob(t)
+	attachWorker(ctx, t, c, "w1")
+	next := tracker.RunKey{Task: key.Task, Attempt: 2}
+	deadline := time.Now().Add((unsentLimit + 1000).Duration())
+	for !isAssigned(c.machine.State(), "w1", next) {
+		if time.Now().After(deadline) {
+			t.Fatalf("after %v the run is not assigned elsewhere: %+v", unsentLimit+1000, c.machine.State().UnfinishedJobs()[0].Tasks)
+		}
+		c.starts.watchBegins("w1") // w1's agent calls, w0's does not
+		c.step(ctx)
+		c.starts.watchEnds("w1", c.clock.Now(), false)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestRunThatAnAgentMayHaveIsNotWithdrawn guards against a run that starts twice: one that was sent, one that another
+// leader may have sent, and one that waits while its agent is being answered.
+func TestRunThatAnAgentMayHaveIsNotWithdrawn(t *testing.T) {
+	tests := map[string]func(context.Context, *Coordinator){
+		"sent":              func(ctx context.Context, c *Coordinator) { _, _ = c.watch(ctx, &WatchRequest{Worker: "w0", Epoch: 1}) },
+		"by another leader": func(_ context.Context, c *Coordinator) { c.starts.reset() },
+		"agent waits":       func(_ context.Context, c *Coordinator) { c.starts.watchBegins("w0") },
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, ctx, _ := startWithJob(t)
+			act(ctx, c)
+			if got := c.starts.withdraw(c.machine.State(), c.clock.Now()+unsentLimit+1000); len(got) > 0 {
+				t.Errorf("withdrawn: %v", got)
+			}
+		})
+	}
+}
+
+// TestWithdrawnRunIsNotSent guards against an answer to an agent that holds a run which is being withdrawn.
+func TestWithdrawnRunIsNotSent(t *testing.T) {
+	c, ctx, key := startWithJob(t)
+	late := c.clock.Now() + unsentLimit + 1
+	want := map[string][]tracker.RunKey{"w0": {key}}
+	if diff := cmp.Diff(want, c.starts.withdraw(c.machine.State(), late)); diff != "" {
+		t.Fatalf("withdrawn (-want +got):\n%s", diff)
+	}
+	c.starts.reset() // the replica leads again in another term
+	response, err := c.watch(ctx, &WatchRequest{Worker: "w0", Epoch: 1})
+	if err != nil || len(response.Assignments) > 0 {
+		t.Errorf("error %v, assignments %+v, want none", err, response.Assignments)
+	}
+	if diff := cmp.Diff(want, c.starts.withdraw(c.machine.State(), late)); diff != "" {
+		t.Errorf("still to be withdrawn (-want +got):\n%s", diff)
+	}
+}
+
+// TestWorkerWhoseAgentBreaksOffGetsNoNewRuns guards against runs that are assigned to a worker whose agent process has
+// just ended. The worker is used again once an agent calls.
+func TestWorkerWhoseAgentBreaksOffGetsNoNewRuns(t *testing.T) {
+	c, ctx, _ := startWithJob(t)
+	watch(ctx, t, c, &WatchRequest{Worker: "w0", Epoch: 1})
+	known := c.machine.State().Workers()[0].ModifiedIndex
+	for _, broken := range []bool{true, false} {
+		call, cancel := context.WithCancel(ctx)
+		if broken {
+			time.AfterFunc(50*time.Millisecond, cancel)
+		}
+		_, _ = c.watch(call, &WatchRequest{Worker: "w0", Epoch: 1, KnownVersion: known})
+		cancel()
+		if got := c.unresponsiveWorkers(c.machine.State(), c.clock.Now())["w0"]; got != broken {
+			t.Errorf("broken off %v: gets no new runs %v", broken, got)
+		}
+	}
+}
+
+// TestWatchEndsWhenReplicaDoesNotLead guards against an agent that learns of the next leader only after WatchTimeout.
+func TestWatchEndsWhenReplicaDoesNotLead(t *testing.T) {
+	j, err := journaler.OpenNamed(t.TempDir(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine := tracker.NewMachine()
+	node, err := replicator.NewNode(replicator.NodeConfig{Journal: j, Machine: machine, Transport: discard{}, Clock: timekeeper.Monotonic{}, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = j.Close() })
+	command, err := encoder.Marshal(tracker.Command{Attach: &tracker.Attach{Worker: "w"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine.Apply(1, command)
+	c := New(Settings{}, node, machine, logger.Logger{}, meter.Meter{})
+	w, _ := machine.State().Worker("w")
+	began := time.Now()
+	c.waitForChange(context.Background(), &WatchRequest{Worker: "w", Epoch: w.Epoch, KnownVersion: w.ModifiedIndex})
+	if took := time.Since(began); took > WatchTimeout.Duration()/2 {
+		t.Errorf("the watch ends after %v", took)
+	}
+}
+
+// TestRunIsNotWithdrawnInAnotherTerm guards against a run that another leader has sent while this one had not noticed
+// that it lost the leadership and regained it.
+func TestRunIsNotWithdrawnInAnotherTerm(t *testing.T) {
+	c, ctx, key := startWithJob(t)
+	c.term++
+	if got := c.starts.withdraw(c.machine.State(), c.clock.Now()+unsentLimit+1); len(got) == 0 {
+		t.Fatal("the run is not to be withdrawn")
+	}
+	c.withdrawUnsent(ctx)
+	if !isAssigned(c.machine.State(), "w0", key) {
+		t.Error("the run was withdrawn")
+	}
+}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -53,6 +53,7 @@
 type proposal struct {
 	kind   uint8
 	data   []byte
+	term   uint64 // in which the entry must be proposed; zero for any
 	change func(Membership) (Membership, error)
 	done   chan result
 }
@@ -196,6 +197,11 @@
 	return n.submit(ctx, proposal{kind: EntryCommand, data: command})
 }
 
+// ProposeInTerm is like Propose, but returns ErrNotLeader unless this replica leads in the given term.
+func (n *Node) ProposeInTerm(ctx context.Context, term uint64, command []byte) (any, error) {
+	return n.submit(ctx, proposal{kind: EntryCommand, data: command, term: term})
+}
+
 // ChangeMembership proposes the membership that change returns for the current one, and waits until it is committed.
 func (n *Node) ChangeMembership(ctx context.Context, change func(Membership) (Membership, error)) error {
 	_, err := n.submit(ctx, proposal{kind: EntryMembership, change: change})
@@ -346,6 +352,10 @@
 func (n *Node) propose(p proposal) {
 	var index, term uint64
 	var err error
+	if p.term != 0 && p.term != n.core.Status().Term {
+		p.done <- result{err: ErrNotLeader}
+		return
+	}
 	if p.change == nil {
 		index, term, err = n.core.Propose(p.kind, p.data)
 	} else {
