Withdraw no run that another leader may have sent, and send none that one has withdrawn

A run could start twice around a change of leader (found by reading, before it landed): a new leader answered a watch from a state that lacked the withdrawal which its predecessor had left in the log, and a leader that came back went on withdrawing runs of its earlier term, although another one might have sent them meanwhile. A watch is now answered with the runs that are assigned both before and after the confirmation, with the version of the first state, and a new term forgets all withdrawals. TestWithdrawnRunIsNotSent demanded that a withdrawal outlives its term; it now demands the opposite. TestWatchTellsOnlyRunsThatAreAssignedThroughout states the rest; it was not run against the old code, whose function takes one state alone.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -56,11 +56,11 @@
 	c.starts.watchBegins(r.Worker)
 	defer func() { c.starts.watchEnds(r.Worker, c.clock.Now(), ctx.Err() != nil) }()
 	c.waitForChange(ctx, r)
-	state := c.machine.State() // read before the confirmation, so that it holds no run that another leader has assigned
+	before := c.machine.State()
 	if c.confirm(ctx) != nil {
 		return &WatchResponse{Reply: c.notLeader()}, nil
 	}
-	return c.watchResponse(r, state), nil
+	return c.watchResponse(r, before, c.machine.State()), nil
 }
 
 func (c *Coordinator) recordDraining(ctx context.Context, r *WatchRequest, now timekeeper.Millis) {
@@ -97,7 +97,10 @@
 	}
 }
 
-func (c *Coordinator) watchResponse(r *WatchRequest, state tracker.State) *WatchResponse {
+// watchResponse returns the runs of a worker that are assigned in both of two states. The one from before the
+// confirmation holds no run that a later leader has assigned, the one from after it none that an earlier leader has
+// withdrawn. The version is that of the first state, so that the agent asks again at once for what came since.
+func (c *Coordinator) watchResponse(r *WatchRequest, before, state tracker.State) *WatchResponse {
 	w, ok := state.Worker(r.Worker)
 	if !ok || w.Detached || w.Epoch != r.Epoch {
 		return &WatchResponse{Reply: c.reply(), Lost: true}
@@ -110,8 +113,10 @@
 	if w.ModifiedIndex == r.KnownVersion {
 		return response
 	}
+	old, _ := before.Worker(r.Worker)
+	response.Version = old.ModifiedIndex
 	for _, run := range w.Runs {
-		if !c.starts.send(run.Key) {
+		if !isAssigned(before, w.Name, run.Key) || !c.starts.send(run.Key) {
 			continue
 		}
 		assignment := Assignment{Run: run.Key, Stop: run.Stopping, Epoch: run.Epoch}
--- a/internal/coordinator/starts.go
+++ b/internal/coordinator/starts.go
@@ -20,7 +20,7 @@
 //
 // A run that was sent to no agent cannot start. The leader that assigned it may withdraw it without waiting for the
 // worker's lease to end, since it alone can have sent it: a watch is answered only with runs of a state that was read
-// before a quorum confirmed the leadership.
+// before a quorum confirmed the leadership, and that are still assigned in one that was read after it.
 type starts struct {
 	mu      sync.Mutex
 	runs    map[tracker.RunKey]*assignedRun
@@ -46,15 +46,12 @@
 	return &starts{runs: map[tracker.RunKey]*assignedRun{}, watches: map[string]*watchRecord{}}
 }
 
-// reset forgets the runs that were assigned in an earlier term, which another leader may have sent.
+// reset forgets the runs that were assigned in an earlier term, which another leader may have sent. Whether those that
+// were withdrawn are lost, the state of the new term tells.
 func (s *starts) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, r := range s.runs {
-		if r.withdrawnAt == 0 {
-			delete(s.runs, key)
-		}
-	}
+	clear(s.runs)
 }
 
 // assign records runs that are about to be proposed.
