Say which assigned runs have not begun, for how long and why

A run that was assigned and did not start left no sign at the leader, and at the agent only a line for each failed start; a start whose answer was lost left none at all when the run began. From the logs one could not tell a late commit, a silent agent and a slow runner apart.

The agent now writes one line when a start is overdue by a second (4030, with the cause), one when a run began late (4031), and 4016 for runs that it learns of from a listing, with the time taken. Its watches carry what became of the starts that the runner does not list yet. The leader writes 2035 for runs assigned for 1.5 s and not reported as running, at most 20 lines a scan and one in 5 s for a run, with worker, cause and the age of the agent's last call; the gauge runs_not_begun counts them by cause, and the histogram run_start holds the time from assignment to start. The bound is 1.5 s, since an agent reports a start with its next watch, within a second.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -49,13 +49,14 @@
 	if status.Role != replicator.Leader {
 		if leading != 0 {
 			c.dropWaits()
+			c.resetStarts()
 			c.log.Log(logger.LeadershipEnded, logger.F("term", leading), logger.F("now", status.Term))
 		}
 		return 0
 	}
 	if status.Term != leading {
 		c.leases.reset(c.clock.Now())
-		c.starts.reset()
+		c.resetStarts()
 		c.dropWaits()
 		c.log.Log(logger.LeadershipAcquired, logger.F("term", status.Term), logger.F("commit", status.CommitIndex), logger.F("members", len(status.Members.Members)))
 	}
@@ -133,6 +134,7 @@
 	c.meter.Observe("plan_time", "", "", time.Since(started))
 	c.waits.record(now, decision.Waits, plan.Starts)
 	c.publishWaits(in, plan.Starts, now)
+	c.publishLateRuns(state, now)
 	if len(plan.Starts) == 0 && len(plan.Stops) == 0 {
 		return
 	}
--- a/internal/coordinator/leases.go
+++ b/internal/coordinator/leases.go
@@ -91,6 +91,13 @@
 	return true
 }
 
+// lastContact returns how long ago the worker's agent called, and whether it then said that the runner does not answer.
+func (l *leases) lastContact(worker string, now timekeeper.Millis) (silence timekeeper.Millis, runnerDown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now - max(l.lastCall[worker], l.leaderSince), l.runnerDown[worker]
+}
+
 // silent reports whether the worker's agent has not called for longer than span, or said that the runner does not
 // answer.
 func (l *leases) silent(worker string, now, span timekeeper.Millis) bool {
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -125,6 +125,14 @@
 	Checkpoint string         `cbor:"3,keyasint,omitempty"`
 }
 
+// StartReport is a run that the agent has received and the runner does not list yet.
+type StartReport struct {
+	Run       tracker.RunKey    `cbor:"1,keyasint"`
+	Confirmed bool              `cbor:"2,keyasint,omitempty"` // the runner has confirmed the start
+	Since     timekeeper.Millis `cbor:"3,keyasint,omitempty"` // time since the confirmation
+	Cause     StartCause        `cbor:"4,keyasint,omitempty"` // why the start is not confirmed
+}
+
 // WatchRequest asks for the worker's runs and a lease. It is answered when the runs change, or after WatchTimeout.
 type WatchRequest struct {
 	Worker             string            `cbor:"1,keyasint"`
@@ -134,6 +142,7 @@
 	Draining           bool              `cbor:"5,keyasint,omitempty"`
 	DrainTimeLeft      timekeeper.Millis `cbor:"6,keyasint,omitempty"` // minimum time left to a draining worker
 	RunnerUnresponsive bool              `cbor:"7,keyasint,omitempty"` // the agent wants no lease
+	Starts             []StartReport     `cbor:"8,keyasint,omitempty"`
 }
 
 // Assignment is a run that is assigned to the worker.
--- a/internal/coordinator/starts.go
+++ b/internal/coordinator/starts.go
@@ -22,17 +22,26 @@
 // worker's lease to end, since it alone can have sent it: a watch is answered only with runs of a state that was read
 // before a quorum confirmed the leadership, and that are still assigned in one that was read after it.
 type starts struct {
-	mu      sync.Mutex
-	runs    map[tracker.RunKey]*assignedRun
-	watches map[string]*watchRecord // by worker
+	mu        sync.Mutex
+	runs      map[tracker.RunKey]*assignedRun // all that are assigned
+	unsent    map[tracker.RunKey]*assignedRun // those that this leader has assigned and sent to no agent
+	withdrawn map[tracker.RunKey]withdrawnRun // those that are never sent any more
+	watches   map[string]*watchRecord         // by worker
+	scannedAt timekeeper.Millis               // when the runs were last compared with the state
 }
 
-// assignedRun is what the leader knows of a run that it has assigned.
+// assignedRun is what the leader knows of a run that is assigned.
 type assignedRun struct {
-	worker      string
-	assignedAt  timekeeper.Millis
-	sent        bool              // in an answer to the worker's agent
-	withdrawnAt timekeeper.Millis // zero if it was not withdrawn; it is never sent afterwards
+	worker     string
+	assignedAt timekeeper.Millis // or when this leader first saw it
+	begun      bool              // the runner executes it
+	cause      StartCause        // why it has not begun, as the agent last said
+	loggedAt   timekeeper.Millis // when a line about it was last written; zero if none was
+}
+
+type withdrawnRun struct {
+	worker string
+	at     timekeeper.Millis
 }
 
 // watchRecord tells whether a worker's agent waits for an answer to a watch.
@@ -43,7 +52,10 @@
 }
 
 func newStarts() *starts {
-	return &starts{runs: map[tracker.RunKey]*assignedRun{}, watches: map[string]*watchRecord{}}
+	return &starts{
+		runs: map[tracker.RunKey]*assignedRun{}, unsent: map[tracker.RunKey]*assignedRun{},
+		withdrawn: map[tracker.RunKey]withdrawnRun{}, watches: map[string]*watchRecord{},
+	}
 }
 
 // reset forgets the runs that were assigned in an earlier term, which another leader may have sent. Whether those that
@@ -52,6 +64,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.runs)
+	clear(s.unsent)
+	clear(s.withdrawn)
 }
 
 // assign records runs that are about to be proposed.
@@ -59,7 +73,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, start := range list {
-		s.runs[start.Run] = &assignedRun{worker: start.Worker, assignedAt: now}
+		r := &assignedRun{worker: start.Worker, assignedAt: now}
+		s.runs[start.Run], s.unsent[start.Run] = r, r
 	}
 }
 
@@ -67,14 +82,10 @@
 func (s *starts) send(run tracker.RunKey) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.runs[run]
-	if r == nil {
-		return true
-	}
-	if r.withdrawnAt > 0 {
+	if _, withdrawn := s.withdrawn[run]; withdrawn {
 		return false
 	}
-	r.sent = true
+	delete(s.unsent, run)
 	return true
 }
 
@@ -120,27 +131,29 @@
 func (s *starts) withdraw(state tracker.State, now timekeeper.Millis) map[string][]tracker.RunKey {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := map[string][]tracker.RunKey{}
-	for key, r := range s.runs {
+	for key, r := range s.unsent {
 		switch {
 		case !isAssigned(state, r.worker, key):
-			if now-max(r.assignedAt, r.withdrawnAt) > withdrawnRetention {
-				delete(s.runs, key)
-			}
-			continue
-		case r.withdrawnAt == 0 && !s.unsent(r, now):
-			continue
-		case r.withdrawnAt == 0:
-			r.withdrawnAt = now
+			delete(s.unsent, key)
+		case s.overdue(r, now):
+			delete(s.unsent, key)
+			s.withdrawn[key] = withdrawnRun{r.worker, now}
 			s.watchRecord(r.worker).absent = true
 		}
-		list[r.worker] = append(list[r.worker], key)
+	}
+	list := map[string][]tracker.RunKey{}
+	for key, r := range s.withdrawn {
+		if isAssigned(state, r.worker, key) {
+			list[r.worker] = append(list[r.worker], key)
+		} else if now-r.at > withdrawnRetention {
+			delete(s.withdrawn, key)
+		}
 	}
 	return list
 }
 
-// unsent reports whether a run was sent to no agent in unsentLimit, for want of a watch. The caller holds mu.
-func (s *starts) unsent(r *assignedRun, now timekeeper.Millis) bool {
+// overdue reports whether an unsent run has waited for longer than unsentLimit for a watch. The caller holds mu.
+func (s *starts) overdue(r *assignedRun, now timekeeper.Millis) bool {
 	since := r.assignedAt
 	if w := s.watches[r.worker]; w != nil {
 		if w.open > 0 {
@@ -148,7 +161,7 @@
 		}
 		since = max(since, w.endedAt)
 	}
-	return !r.sent && now-since > unsentLimit
+	return now-since > unsentLimit
 }
 
 // isAssigned reports whether a worker holds a run.
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -198,3 +198,47 @@
 		})
 	}
 }
+
+// TestLateRunIsCountedWithItsCause guards against an assigned run that stands without a sign of it: it is late until its
+// agent reports that it has begun.
+func TestLateRunIsCountedWithItsCause(t *testing.T) {
+	c, ctx, key := startWithJob(t)
+	assignedAt := c.starts.runs[key].assignedAt
+	now := assignedAt
+	causes := func() []string {
+		now += startScanInterval
+		var list []string
+		late, _ := c.starts.lateRuns(c.machine.State(), now)
+		for _, l := range late {
+			list = append(list, l.cause.String())
+		}
+		return list
+	}
+	steps := []struct {
+		name string
+		act  func()
+		want []string
+	}{
+		{"early", func() {}, nil},
+		{"not sent", func() { now += lateStart }, []string{"not-sent"}},
+		{"sent", func() { watch(ctx, t, c, &WatchRequest{Worker: "w0", Epoch: 1}) }, []string{"not-reported"}},
+		{"refused", func() { c.reportStart(StartReport{Run: key, Cause: StartUnavailable}, now) }, []string{"runner-unavailable"}},
+		{"begun", func() {
+			want := []begunRun{{key, now - 300 - assignedAt}}
+			if diff := cmp.Diff(want, c.reportStart(StartReport{Run: key, Confirmed: true, Since: 300}, now), cmp.AllowUnexported(begunRun{})); diff != "" {
+				t.Errorf("begun (-want +got):\n%s", diff)
+			}
+		}, nil},
+	}
+	for _, step := range steps {
+		step.act()
+		if diff := cmp.Diff(step.want, causes()); diff != "" {
+			t.Errorf("%s: causes of late runs (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
+// reportStart records a start report of w0.
+func (c *Coordinator) reportStart(r StartReport, now timekeeper.Millis) []begunRun {
+	return c.starts.recordReports(&WatchRequest{Worker: "w0", Starts: []StartReport{r}}, now)
+}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -39,6 +39,10 @@
 	stopConfirmed  bool              // the runner has confirmed a stop
 	inFlight       bool              // a start or stop is in flight
 	failedStarts   int               // number of failed starts
+	receivedAt     timekeeper.Millis // when the agent received the run
+	begunAt        timekeeper.Millis // when the runner confirmed a start of this session, or listed the run after one; zero before
+	lastVerdict    Verdict           // on the last start that failed; zero if it got no answer
+	overdueLogged  bool              // a line says that the start is overdue
 	sentAt         timekeeper.Millis // when the last start or stop was sent
 	notBefore      timekeeper.Millis // earliest time of the next start or stop
 	startedAt      timekeeper.Millis // when the only start sent was confirmed; zero if none was confirmed or a start failed
@@ -85,7 +89,7 @@
 	for _, a := range assignments {
 		r := s.runs[a.Run]
 		if r == nil {
-			r = &run{}
+			r = &run{receivedAt: s.agent.clock.Now()}
 		}
 		if r.assignment.Run != a.Run || a.Stop != r.assignment.Stop {
 			r.notBefore = 0
@@ -121,6 +125,9 @@
 	for _, running := range s.listing.Running {
 		if r := s.runs[running.Run]; r != nil {
 			r.listed = true
+			if r.startSent {
+				s.recordBegun(r)
+			}
 			continue
 		}
 		if !s.assigned {
@@ -149,6 +156,7 @@
 
 // advance sends the start or stop that the run needs next, if any.
 func (s *session) advance(ctx context.Context, r *run, draining bool, now timekeeper.Millis) {
+	s.logOverdue(r, now)
 	if r.inFlight || now < r.notBefore || r.converged() || r.awaitsListing() {
 		return
 	}
@@ -232,9 +240,10 @@
 		if r.failedStarts == 0 {
 			r.startedAt = s.agent.clock.Now()
 		}
-		s.agent.log.Log(logger.RunStarted, logger.F("job", string(r.assignment.Run.Task.Job)), logger.F("run", r.assignment.Run.String()), logger.F("epoch", s.epoch))
+		s.recordBegun(r)
 		return
 	}
+	r.lastVerdict = result.verdict
 	switch {
 	case result.err != nil:
 		r.unansweredPoll = s.sentPolls
--- a/internal/executor/run_test.go
+++ b/internal/executor/run_test.go
@@ -1,14 +1,17 @@
 package executor
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/lagoonmill/lagoonmill/internal/coordinator"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
@@ -109,3 +112,46 @@
 		}
 	}
 }
+
+// TestOverdueStartIsLoggedOnceWithItsCause guards against an assigned run that stands without a line that says why.
+func TestOverdueStartIsLoggedOnceWithItsCause(t *testing.T) {
+	causes := map[coordinator.StartCause]fakeRunner{
+		coordinator.StartUnanswered:  {err: errors.New("no response")},
+		coordinator.StartUnavailable: {start: VerdictUnavailable},
+		coordinator.StartNoCapacity:  {start: VerdictNoCapacity},
+	}
+	for cause, runner := range causes {
+		var lines bytes.Buffer
+		s := newTestSession(t, &runner, Listing{})
+		s.agent.log = logger.New(&lines, "agent")
+		r := s.assign(t, coordinator.Assignment{Run: testRun(0), Epoch: 5})
+		for range 3 {
+			s.stepAt(r, r.receivedAt+overdueAfter+1)
+		}
+		if got := strings.Count(lines.String(), logger.RunStartOverdue.Text); got != 1 {
+			t.Errorf("%v: %d lines, want 1:\n%s", cause, got, &lines)
+		}
+		want := []coordinator.StartReport{{Run: testRun(0), Cause: cause}}
+		if diff := cmp.Diff(want, s.startReports()); diff != "" {
+			t.Errorf("reported to the leader (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestRunThatBeganLateIsLogged guards against a start without an answer of which no line tells that the run began.
+func TestRunThatBeganLateIsLogged(t *testing.T) {
+	var lines bytes.Buffer
+	s := newTestSession(t, &fakeRunner{err: errors.New("no response")}, Listing{})
+	s.agent.log = logger.New(&lines, "agent")
+	r := s.assign(t, coordinator.Assignment{Run: testRun(0), Epoch: 5})
+	s.step(r)
+	r.receivedAt -= overdueAfter + 1
+	for serial := range 2 {
+		s.handlePollResult(pollResult{serial: serial + 2, listing: Listing{Running: []RunStatus{{Run: testRun(0)}}}, verdict: VerdictDone})
+	}
+	for _, event := range []logger.Event{logger.RunStarted, logger.RunStartedLate} {
+		if got := strings.Count(lines.String(), event.Text); got != 1 {
+			t.Errorf("%d lines %q, want 1:\n%s", got, event.Text, &lines)
+		}
+	}
+}
--- a/internal/executor/watch.go
+++ b/internal/executor/watch.go
@@ -19,6 +19,7 @@
 	r := &coordinator.WatchRequest{
 		Worker: s.agent.worker, Epoch: s.epoch, KnownVersion: s.assignmentVersion,
 		Draining: s.draining(), DrainTimeLeft: a.DrainTimeLeft, RunnerUnresponsive: s.failedPolls >= unresponsiveAfter,
+		Starts: s.startReports(),
 	}
 	for _, running := range s.listing.Running {
 		r.Running = append(r.Running, coordinator.RunReport{Run: running.Run, Percent: running.Percent, Checkpoint: running.Checkpoint})
