Keep requests from a runner that has started again under its id

A start of a session for an earlier process could reach the next process of the runner, since X-Expect-Instance names the id and a runner may keep its id. The new process had seen no fencing token and took the run, with a lease by the old process's clock, up to the longest it accepts; if the agent was restarted too, nobody stopped the run when the leader's lease had ended, and the task started elsewhere as well. A poll could likewise discard ends of the new process by the old one's numbers.

A connection ends with the process that accepted it.

--- a/internal/executor/doc.go
+++ b/internal/executor/doc.go
@@ -8,7 +8,8 @@
 //   - It sends no start or stop before the runner has seen the fencing token of the attachment.
 //   - It lets the runner discard an end only after the end is committed to the log.
 //   - It reports a run as absent only from a listing that the runner made after every request that could still start
-//     the run was fenced off.
+//     the run was fenced off, or once the runner has refused every start of it.
+//   - Its requests reach no incarnation of the runner but the one that the session is for.
 //   - A lease, measured by the runner's clock, never ends later than the leader granted.
 //
 // A runner is the platform's process on a worker that executes runs. The fencing token is the epoch of the attachment
--- a/internal/executor/simrunner_test.go
+++ b/internal/executor/simrunner_test.go
@@ -123,10 +123,10 @@
 // simClient is the agent's client of the runner that is current when a request is sent. Each request consumes
 // fate, which the simulation sets before.
 type simClient struct {
-	sim    *simulation
-	worker *simWorker
-	id     string // of the incarnation that the requests are meant for
-	fate   fate
+	sim         *simulation
+	worker      *simWorker
+	incarnation tracker.Incarnation // that the requests are meant for
+	fate        fate
 }
 
 // fate is what becomes of a request.
@@ -146,7 +146,7 @@
 func (c *simClient) deliver(carryOut func(*simRunner) Verdict) (Verdict, error) {
 	receiver := c.worker.runner // the process that has the connection: a late request ends with it
 	execute := func() Verdict {
-		if receiver.incarnation.ID != c.id || receiver != c.worker.runner {
+		if receiver.incarnation != c.incarnation || receiver != c.worker.runner {
 			return VerdictWrongRunner
 		}
 		return carryOut(receiver)
--- a/internal/executor/simulation_test.go
+++ b/internal/executor/simulation_test.go
@@ -253,7 +253,7 @@
 func (w *simWorker) restartAgent() {
 	w.sim.serial++
 	dial := func(a Announcement) Runner {
-		w.client = &simClient{sim: w.sim, worker: w, id: a.Incarnation.ID}
+		w.client = &simClient{sim: w.sim, worker: w, incarnation: a.Incarnation}
 		return w.client
 	}
 	w.agent = New(w.name, fmt.Sprint(w.sim.serial), dial, nil, logger.Logger{})
