--- a/internal/coordinator/waits.go
+++ b/internal/coordinator/waits.go
@@ -22,7 +22,7 @@
 	waitReportInterval timekeeper.Millis = 250
 	// maxRoomGap is the time for which plans may see no room beside a job that goes on to stand there. A run that is assigned
 	// just before the leader hears of the end of another one hides room for as long as that takes.
-	maxRoomGap timekeeper.Millis = 300
+	maxRoomGap timekeeper.Millis = 150
 	// maxWaitLines bounds the lines of one report.
 	maxWaitLines = 20
 	// idleShare is the free share of a service, in percent, from which a job that would fit should not have to wait.
--- a/internal/coordinator/waits_test.go
+++ b/internal/coordinator/waits_test.go
@@ -149,7 +149,7 @@
 	}{
 		{"since the first plan with room", standing(one(noRoom), one(room), one(room)), []timekeeper.Millis{0, 0, 100}},
 		{"on through a short lack of room", standing(nil, one(room), one(noRoom), one(room), one(room)), []timekeeper.Millis{0, 0, 100, 200, 300}},
-		{"anew after a lack that several plans see", standing(nil, one(room), one(noRoom), one(noRoom), one(noRoom), one(noRoom), one(room)), []timekeeper.Millis{0, 0, 100, 200, 300, 0, 0}},
+		{"anew after a lack that several plans see", standing(nil, one(room), one(noRoom), one(noRoom), one(noRoom), one(noRoom), one(room)), []timekeeper.Millis{0, 0, 100, 200, 0, 0, 0}},
 		{"since long ago in a new term", standing(one(room), one(room)), []timekeeper.Millis{planner.StandingLimit, planner.StandingLimit + 100}},
 	}
 	for _, test := range tests {
--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -361,3 +362,27 @@
 		t.Errorf("the job does not stand beside room: %+v", waits[max(i, 0)])
 	}
 }
+
+// TestStandingJobsTakeNoRoomOfStops guards against standing jobs that take room for which runs are being stopped, over and
+// over, when a stop takes longer than StandingLimit.
+func TestStandingJobsTakeNoRoomOfStops(t *testing.T) {
+	const slowStop = 2 * StandingLimit
+	sim := newSimulation(t, Plan, 4)
+	for i := range 3 {
+		sim.occupy(modeler.JobID(fmt.Sprintf("batch%d", i)), workerName(i))
+	}
+	urgent := tasks(3, 8, 5000)
+	urgent.Gang = true
+	sim.submit("urgent", "urgent", "guaranteed", 5000, urgent)
+	for i := range 20 {
+		sim.submit(fmt.Sprintf("small%d", i), "checks", "other", 5000, tasks(1, 1, 5000))
+	}
+	sim.run(2*tick, nil)
+	for _, run := range slices.SortedFunc(maps.Keys(sim.stopAt), func(a, b tracker.RunKey) int { return a.Task.Compare(b.Task) })[1:] {
+		sim.stopAt[run] = sim.now + slowStop
+	}
+	sim.run(sim.now+slowStop+2*tick, nil)
+	if workers := assignedTo(sim.state, "urgent"); len(workers) != 3 || sim.stopCount != 2 {
+		t.Errorf("the gang runs on %v after %d stops, want three workers and two stops", workers, sim.stopCount)
+	}
+}
