--- a/internal/planner/room_test.go
+++ b/internal/planner/room_test.go
@@ -27,8 +27,7 @@
 // standing is a time in which a job has nothing running beside room for its next demand twice over.
 type standing struct {
 	since timekeeper.Millis
-	next  modeler.Step // the step with room
-	found bool         // it has lasted for maxStanding
+	found bool // it has lasted for maxStanding
 }
 
 // finding is a standing that lasts for maxStanding, as seen at that time.
