--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -7,10 +7,10 @@
 // gang starts all its members in one plan or none.
 //
 // No job of which nothing runs stands for longer than StandingLimit beside free resources that hold its next demand twice
-// over, whatever keeps them from it: headroom, reservations, doubts about workers, or a gang's wish for one rack. It then
-// starts one task, or one gang. While less than half of a service is in use it does not wait that long for resources that
-// are kept as headroom or by a reservation that is not firm. Those for which runs are being stopped are firm, and those
-// of jobs that have waited for minutes.
+// over, whatever keeps them from it: headroom, reservations that are not firm, doubts about workers, or a gang's wish for
+// one rack. It then starts one task, or one gang. While less than half of a service is in use it does not wait that long
+// for resources that are kept as headroom or by such a reservation. Reservations for which runs are being stopped are
+// firm, and those of jobs that have waited for minutes.
 //
 // A reservation lasts for one plan: it keeps free resources, or resources that are being released, from demands that
 // are planned later. It is not the reservation of package scheduler, which is part of that package's state.
--- a/internal/planner/place.go
+++ b/internal/planner/place.go
@@ -40,8 +40,8 @@
 	return key, step.MaxPerWorker == 0 && !d.hasFailed()
 }
 
-// placeNow places a demand on resources that are free now: on those that are left to it, if it may backfill on any that
-// are not reserved firmly, and if its job has stood beside room for too long on any at all.
+// placeNow places a demand on resources that are free now: on those that are left to it, or, if it may backfill or its job
+// has stood beside room for too long, on any that are not reserved firmly.
 func (b *planBuilder) placeNow(d demand) (placement, bool) {
 	p, ok := b.placeFree(d)
 	if ok || !b.mayOvertake(d) {
