--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -96,8 +96,8 @@
 	Wait         timekeeper.Millis // how long the runner may delay its response until a run ends
 }
 
-// Runner sends requests to one incarnation of a runner, and to none that starts later under the same id. An error means that no response arrived: the runner may still
-// carry out the request, at once or seconds later.
+// Runner sends requests to one incarnation of a runner, and to none that starts later under the same id. An error means
+// that no response arrived: the runner may still carry out the request, at once or seconds later.
 type Runner interface {
 	Start(ctx context.Context, request StartRequest) (Verdict, error)
 	Stop(ctx context.Context, run tracker.RunKey, epoch uint64) (Verdict, error)
