--- a/internal/coordinator/refusal_test.go
+++ b/internal/coordinator/refusal_test.go
@@ -22,8 +22,8 @@
 
 func (discard) Send(replicator.Membership, []replicator.Message) {}
 
-// startCoordinator returns a coordinator that leads a log of its own, and a context for calls.
-func startCoordinator(t *testing.T) (*Coordinator, context.Context) {
+// newNode returns a replica that has not been started, with an empty machine.
+func newNode(t *testing.T) (*replicator.Node, *tracker.Machine) {
 	t.Helper()
 	j, err := journaler.OpenNamed(t.TempDir(), "a")
 	if err != nil {
@@ -34,6 +34,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = j.Close() }) // nothing reads it again
+	return node, machine
+}
+
+// startCoordinator returns a coordinator that leads a log of its own, and a context for calls.
+func startCoordinator(t *testing.T) (*Coordinator, context.Context) {
+	t.Helper()
+	node, machine := newNode(t)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run(ctx) }()
@@ -42,7 +50,6 @@
 		if err := <-ended; err != nil {
 			t.Errorf("node: %v", err)
 		}
-		_ = j.Close() // nothing reads it again
 	})
 	node.BootstrapWith(InitialMembership([]string{"a"}))
 	c := New(Settings{Address: "a", Lease: 1000, Voters: 1}, node, machine, logger.Logger{}, meter.Meter{})
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -8,11 +8,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
-	"github.com/lagoonmill/lagoonmill/internal/journaler"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/meter"
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
-	"github.com/lagoonmill/lagoonmill/internal/replicator"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
 )
@@ -131,16 +129,7 @@
 
 // TestWatchEndsWhenReplicaDoesNotLead guards against an agent that learns of the next leader only after WatchTimeout.
 func TestWatchEndsWhenReplicaDoesNotLead(t *testing.T) {
-	j, err := journaler.OpenNamed(t.TempDir(), "a")
-	if err != nil {
-		t.Fatal(err)
-	}
-	machine := tracker.NewMachine()
-	node, err := replicator.NewNode(replicator.NodeConfig{Journal: j, Machine: machine, Transport: discard{}, Clock: timekeeper.Monotonic{}, Seed: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = j.Close() })
+	node, machine := newNode(t)
 	command, err := encoder.Marshal(tracker.Command{Attach: &tracker.Attach{Worker: "w"}})
 	if err != nil {
 		t.Fatal(err)
