--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-in that the scripts of the review start.
+set -e
+cd "$(dirname "$0")/standin"
+go build -o ../bin/standin .
--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+var worker = profile{cpu: 32000, memMb: 131072, gpu: 8, labels: []string{"a", "r1-1"}}
+
+// smallSite returns the profiles of the runners of a small deployment: 11, three a rack.
+func smallSite() []profile {
+	var list []profile
+	for i := range 11 {
+		p := worker
+		p.labels = []string{"a", fmt.Sprintf("r1-%d", i/3)}
+		list = append(list, p)
+	}
+	return list
+}
+
+// accept submits a job until it is accepted.
+func (c *cluster) accept(id, body string) error {
+	for i := range 10 {
+		if status, _ := c.job(i%3, http.MethodPost, id, body); status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return fmt.Errorf("job %s was not accepted", id)
+}
+
+// waitRunning waits until a work unit runs, and returns its runner.
+func (c *cluster) waitRunning(task string, limit time.Duration) (*runner, error) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, id := range c.world.runnersOf(task) {
+			for _, r := range c.runners {
+				if r.id == id {
+					return r, nil
+				}
+			}
+		}
+	}
+	return nil, fmt.Errorf("%s did not start in %v", task, limit)
+}
+
+func (c *cluster) agentOf(r *runner) string {
+	for i, o := range c.runners {
+		if o == r {
+			return fmt.Sprintf("side-%d/agent", i)
+		}
+	}
+	return ""
+}
+
+const (
+	freezeBefore = 1500 * time.Millisecond // from the freeze until the runner deregisters
+	freezeTime   = 4 * time.Second
+	endsAfter    = 4 * time.Second // an unacknowledged runner ends this long after the second that it waits
+	rounds       = 6
+)
+
+// deregister plays runners that drain, deregister and end, one after the other, each while the process beside it stands
+// still for four seconds. The rule is TWICE: two runs of one work unit at the same time, on runners that are up.
+func deregister(c *cluster, trouble bool) (bool, error) {
+	if err := c.start(smallSite()); err != nil {
+		return false, err
+	}
+	if err := c.begin(1); err != nil {
+		return false, err
+	}
+	const id = "5c0e7a21d94b36f8"
+	task := id + ".0.0.0"
+	c.world.setWork(id, 0)
+	if err := c.accept(id, `{"spec":"serve","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":1,"estimateMs":1000,"longRunning":true}]}`); err != nil {
+		return false, err
+	}
+	for range rounds {
+		r, err := c.waitRunning(task, 15*time.Second)
+		if err != nil {
+			return false, err
+		}
+		time.Sleep(2 * time.Second)
+		c.leaveFrozen(r, trouble)
+		if c.world.ranTwice() {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// leaveFrozen lets a runner drain and leave, in the trouble while its agent is frozen.
+func (c *cluster) leaveFrozen(r *runner, trouble bool) {
+	r.drain(3 * time.Second)
+	time.Sleep(3*time.Second - freezeBefore)
+	if trouble {
+		c.signal(c.agentOf(r), syscall.SIGSTOP)
+		time.AfterFunc(freezeTime, func() { c.signal(c.agentOf(r), syscall.SIGCONT) })
+	}
+	time.Sleep(freezeBefore)
+	r.leave(endsAfter)
+	time.Sleep(time.Second)
+}
+
+// pending plays a runner that rejects starts for some seconds, and reads the count of the queue.
+func pending(c *cluster, trouble bool) (bool, error) {
+	profiles := smallSite()
+	profiles[3].labels[0] = "b"
+	if err := c.start(profiles); err != nil {
+		return false, err
+	}
+	if err := c.begin(1); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	const id = "6d0e7a21d94b36f9"
+	c.world.setWork(id, 500*time.Millisecond)
+	if trouble {
+		c.runners[3].setUnhealthy(true)
+		time.AfterFunc(6500*time.Millisecond, func() { c.runners[3].setUnhealthy(false) })
+	}
+	if err := c.accept(id, `{"spec":"check","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":1,"estimateMs":500,"constraints":"b"}]}`); err != nil {
+		return false, err
+	}
+	accepted := time.Now()
+	broken := false
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		c.world.mu.Lock()
+		begun := !c.world.begun[id].IsZero()
+		c.world.mu.Unlock()
+		waited := time.Since(accepted)
+		status, body := c.job(1, http.MethodGet, "", "")
+		var d struct {
+			Pending int `json:"pending"`
+		}
+		if begun || status != http.StatusOK || json.Unmarshal([]byte(body), &d) != nil {
+			continue
+		}
+		if waited > 5*time.Second && d.Pending == 0 {
+			broken = true
+			c.rec.printf("MIXED: pending is 0, but the job was accepted %v ago and has not begun", waited.Round(time.Millisecond))
+		}
+	}
+	if c.world.startsOf(id+".0.0.0") == 0 {
+		return false, fmt.Errorf("the job never started")
+	}
+	return broken, nil
+}
