Review case 2: work units that are done run again after an agent's restart

Shows that an agent which starts again takes the first 500 ends that its runner lists for all, and has the other work units started again although they are done.

Shown by a script.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -148,3 +149,52 @@
 	}
 	return broken, nil
 }
+
+const (
+	smallTasks    = 700
+	smallTaskWork = 8 * time.Second
+	agentDown     = 2 * time.Second
+)
+
+// manyEnds plays the kill of the process beside a runner on which more than 500 work units end meanwhile. The rule is
+// TWICE: a start after a run has ended done, if that end is taken note of.
+func manyEnds(c *cluster, trouble bool) (bool, error) {
+	if err := c.start(smallSite()); err != nil {
+		return false, err
+	}
+	if err := c.begin(1); err != nil {
+		return false, err
+	}
+	const id = "7e0e7a21d94b36fa"
+	c.world.setWork(id, smallTaskWork)
+	body := fmt.Sprintf(`{"spec":"check","phases":[{"count":%d,"cpu":40,"memMb":64,"estimateMs":8000}]}`, smallTasks)
+	if err := c.accept(id, body); err != nil {
+		return false, err
+	}
+	r, err := c.waitRunning(id+".0.0.0", 10*time.Second)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(smallTaskWork - 500*time.Millisecond)
+	if trouble {
+		name := c.agentOf(r)
+		c.signal(name, syscall.SIGKILL)
+		time.Sleep(agentDown)
+		if err := c.restart(name); err != nil {
+			return false, err
+		}
+	}
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		status, text := c.job(1, http.MethodGet, id, "")
+		if status == http.StatusOK && strings.Contains(text, "done") {
+			break
+		}
+	}
+	time.Sleep(2 * time.Second)
+	again := c.world.startedAfterDone()
+	for _, line := range again {
+		c.rec.printf("TWICE: %s", line)
+	}
+	c.rec.printf("%d of %d work units were started after an end done that was taken note of", len(again), smallTasks)
+	return len(again) > 0, nil
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -50,6 +50,8 @@
 	name   string
 	cmd    *exec.Cmd
 	exited chan struct{}
+
+	command, settings string
 }
 
 // roleCommands are the commands of the deploy file.
@@ -199,7 +201,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", name, err)
 	}
-	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	p := &process{name: name, cmd: cmd, exited: make(chan struct{}), command: command, settings: settings}
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
@@ -220,6 +222,16 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// restart starts a process that has ended again, with the settings that it had.
+func (c *cluster) restart(name string) error {
+	c.mu.Lock()
+	p := c.processes[name]
+	c.mu.Unlock()
+	<-p.exited
+	c.rec.printf("%s is started again", name)
+	return c.exec(name, p.command, p.settings)
+}
+
 // stop ends all processes and runners and removes the temporary folder.
 func (c *cluster) stop(keep bool) {
 	for _, r := range c.runners {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(c *cluster, trouble bool) (bool, error){
 	"deregister": deregister,
 	"pending":    pending,
+	"manyends":   manyEnds,
 }
 
 const maxTime = 110 * time.Second
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -22,6 +22,13 @@
 	return &recorder{file: file, start: time.Now()}, nil
 }
 
+// log adds a line to the record.
+func (r *recorder) log(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // printf adds a line to the record and prints it.
 func (r *recorder) printf(format string, args ...any) {
 	r.mu.Lock()
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -20,10 +21,44 @@
 	starts  map[string]int           // by work unit
 	begun   map[string]time.Time     // by job: its first start
 	twice   []string                 // starts of a work unit that ran elsewhere
+	done    map[string]*doneEnd      // by work unit: its first end "done"
+	again   []string                 // starts after an end "done"
 }
 
 func newWorld(rec *recorder) *world {
-	return &world{rec: rec, work: map[string]time.Duration{}, running: map[string][]string{}, starts: map[string]int{}, begun: map[string]time.Time{}}
+	return &world{rec: rec, work: map[string]time.Duration{}, running: map[string][]string{}, starts: map[string]int{}, begun: map[string]time.Time{}, done: map[string]*doneEnd{}}
+}
+
+// doneEnd is the end of a run that is done.
+type doneEnd struct {
+	run    string
+	noted  bool // ackedSeq has reached it, and the lease had not lapsed
+	starts []string
+}
+
+// startedAfterDone returns the work units that were started after a run of theirs had ended done and whose end was taken
+// note of, then or later.
+func (w *world) startedAfterDone() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []string
+	for task, d := range w.done {
+		if d.noted && len(d.starts) > 0 {
+			list = append(list, fmt.Sprintf("%s: %s ended done and was taken note of, but %s", task, d.run, strings.Join(d.starts, ", ")))
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+// noteEnd records that ackedSeq has reached an end.
+func (w *world) noteEnd(e end, r *runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rec.log("runner %s: end %d (%s run %d %s) is taken note of, lease lapsed before: %v", r.id, e.number, e.task, e.attempt, e.how, e.lapsed)
+	if d := w.done[e.task]; d != nil && e.how == "done" && !e.lapsed {
+		d.noted = true
+	}
 }
 
 func (w *world) started(task string, attempt int, r *runner) time.Duration {
@@ -38,6 +73,9 @@
 	}
 	w.running[task] = append(w.running[task], r.id)
 	w.starts[task]++
+	if d := w.done[task]; d != nil {
+		d.starts = append(d.starts, fmt.Sprintf("run %d started on %s", attempt, r.id))
+	}
 	if w.begun[job].IsZero() {
 		w.begun[job] = time.Now()
 	}
@@ -48,6 +86,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rec.printf("runner %s: %s run %d ends: %s", r.id, task, attempt, how)
+	if how == "done" && w.done[task] == nil {
+		w.done[task] = &doneEnd{run: fmt.Sprintf("run %d on %s", attempt, r.id)}
+	}
 	for i, id := range w.running[task] {
 		if id == r.id {
 			w.running[task] = append(w.running[task][:i:i], w.running[task][i+1:]...)
@@ -100,6 +141,7 @@
 	attempt int
 	how     string
 	saved   string
+	lapsed  bool // the lease has lapsed since
 }
 
 // runner is one life of a runner, as PROTOCOL.md describes it.
@@ -190,6 +232,11 @@
 func (r *runner) tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.clock() > r.lease {
+		for i := range r.ends {
+			r.ends[i].lapsed = true
+		}
+	}
 	for task, run := range r.runs {
 		switch {
 		case !run.stopAt.IsZero() && time.Now().After(run.stopAt):
@@ -208,7 +255,7 @@
 	r.world.ended(task, run.attempt, how, r)
 	r.highest[task] = max(r.highest[task], run.attempt)
 	r.endCount++
-	r.ends = append(r.ends, end{r.endCount, task, run.attempt, how, run.checkpoint})
+	r.ends = append(r.ends, end{number: r.endCount, task: task, attempt: run.attempt, how: how, saved: run.checkpoint})
 	close(r.news)
 	r.news = make(chan struct{})
 }
@@ -367,6 +414,7 @@
 	r.calls++
 	r.lease = max(r.lease, min(q.Lease, r.clock()+10000))
 	for len(r.ends) > 0 && r.ends[0].number <= q.Acked {
+		r.world.noteEnd(r.ends[0], r)
 		r.ends = r.ends[1:]
 	}
 	if len(r.ends) == 0 && q.Wait > 0 {
