--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -198,3 +198,59 @@
 	c.rec.printf("%d of %d work units were started after an end done that was taken note of", len(again), smallTasks)
 	return len(again) > 0, nil
 }
+
+const (
+	silences = 3
+	askAfter = 14 * time.Second // finish_s
+	askFor   = 10 * time.Second
+	askPause = 300 * time.Millisecond
+)
+
+// silent plays channels between the machines that go silent for good, while new ones work. The rule is LOST: an accepted job
+// that is asked for `finish_s` later gets no answer in time.
+func silent(c *cluster, trouble bool) (bool, error) {
+	c.proxied = true
+	if err := c.start(smallSite()); err != nil {
+		return false, err
+	}
+	if err := c.begin(1); err != nil {
+		return false, err
+	}
+	time.Sleep(5 * time.Second)
+	for round := range silences {
+		id := fmt.Sprintf("8f0e7a21d94b36f%x", round)
+		c.world.setWork(id, 500*time.Millisecond)
+		if err := c.accept(id, `{"spec":"check","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":1,"estimateMs":500}]}`); err != nil {
+			return false, err
+		}
+		if trouble {
+			c.silence()
+		}
+		time.Sleep(askAfter)
+		if !c.answers(id) {
+			c.rec.printf("LOST: an accepted job gets no answer from %v to %v after the channels went silent", askAfter, askAfter+askFor)
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// silence makes the open channels to the control processes silent.
+func (c *cluster) silence() {
+	n := 0
+	for _, p := range c.proxies {
+		n += p.silence()
+	}
+	c.rec.printf("the %d open channels to the control processes go silent; new ones work", n)
+}
+
+// answers reports whether a GET of the job is answered with its state at any node within askFor.
+func (c *cluster) answers(id string) bool {
+	for end, i := time.Now().Add(askFor), 0; time.Now().Before(end); i++ {
+		if status, _ := c.job(i%3, http.MethodGet, id, ""); status == http.StatusOK {
+			return true
+		}
+		time.Sleep(askPause)
+	}
+	return false
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -40,6 +40,9 @@
 	bounds  map[string]any
 	world   *world
 
+	proxied bool // the internal channels of the control processes pass proxies
+	proxies []*proxy
+
 	mu        sync.Mutex
 	processes map[string]*process
 	runners   []*runner
@@ -158,7 +161,18 @@
 	if err := os.MkdirAll(s["dataDir"].(string), 0o750); err != nil {
 		return fmt.Errorf("create data folder: %w", err)
 	}
-	if err := c.startProcess("control", name, s); err != nil {
+	command := roleCommands["control"]
+	if c.proxied {
+		// A control process behind a proxy listens elsewhere than at the address that it gives others (docs/OPERATIONS.md).
+		listen := fmt.Sprintf("127.%d.3.%d:%d", c.network, 10+i, c.ports.internalFirst)
+		command += " --internal-listen " + listen
+		p, err := newProxy(fmt.Sprintf("%s:%d", ip, c.ports.internalFirst), listen)
+		if err != nil {
+			return err
+		}
+		c.proxies = append(c.proxies, p)
+	}
+	if err := c.startCommand(command, "control", name, s); err != nil {
 		return err
 	}
 	return c.startProcess("entry", name, s)
@@ -173,8 +187,13 @@
 	return c.startProcess("agent", name, s)
 }
 
-// startProcess starts a role with the command of the deploy file. JSON is YAML as well.
+// startProcess starts a role with the command of the deploy file.
 func (c *cluster) startProcess(role, machine string, settings map[string]any) error {
+	return c.startCommand(roleCommands[role], role, machine, settings)
+}
+
+// startCommand starts a process of a role and writes its settings. JSON is YAML as well.
+func (c *cluster) startCommand(command, role, machine string, settings map[string]any) error {
 	name := machine + "/" + role
 	path := filepath.Join(c.dir, strings.ReplaceAll(name, "/", "-")+".yaml")
 	data, err := json.Marshal(settings)
@@ -184,7 +203,7 @@
 	if err != nil {
 		return fmt.Errorf("write settings: %w", err)
 	}
-	return c.exec(name, roleCommands[role], path)
+	return c.exec(name, command, path)
 }
 
 func (c *cluster) exec(name, command, settings string) error {
@@ -237,6 +256,9 @@
 	for _, r := range c.runners {
 		r.close()
 	}
+	for _, p := range c.proxies {
+		p.close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.processes {
@@ -290,13 +312,28 @@
 	return status, text
 }
 
-// manifest returns the only manifest of a script.
-func manifest(priority int) string {
-	return fmt.Sprintf(`{"version":1,"routes":[{"name":"r-jobs","host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":3000,`+
-		`"completionTargetMs":3000,"priority":%d,"service":%q,"maxAttempts":3,"stretch":3.0,"public":false}],"services":[{"name":%q,`+
+// manifest returns a manifest with one queue that is used and some more routes.
+func manifest(version, priority, more int) string {
+	route := func(name, path string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":3000,"completionTargetMs":3000,`+
+			`"priority":%d,"service":%q,"maxAttempts":3,"stretch":3.0,"public":false}`, name, queueHost, path, priority, service)
+	}
+	routes := []string{route("r-jobs", prefix)}
+	for i := range more {
+		routes = append(routes, route(fmt.Sprintf("r-%04d", i), fmt.Sprintf("/more%04d/", i)))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,`+
 		`"healthPath":"/healthz","maxConns":64,"protocol":"h1","tls":false,"rejectsOverload":false,"standby":false}],`+
 		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},`+
-		`"tenants":[{"name":"one","apiKeys":[%q],"priority":1,"guaranteed":{"gpu":8}}]}`, queueHost, prefix, priority, service, service, key)
+		`"tenants":[{"name":"one","apiKeys":[%q],"priority":1,"guaranteed":{"gpu":8}}]}`, version, strings.Join(routes, ","), service, key)
+}
+
+// replace sends a manifest to the control process of a frontend machine and reports whether it was acknowledged.
+func (c *cluster) replace(front int, body string, version int) bool {
+	address := fmt.Sprintf("%s:%d", c.frontIP(front), c.ports.control)
+	status, _, err := call(http.MethodPost, address, "", "/v1/Config.Replace", body, nil, time.Second)
+	c.rec.printf("operator: manifest version %d (%d bytes) to frontend-%d -> %d %v", version, len(body), front, status, err)
+	return err == nil && status == http.StatusOK
 }
 
 // begin sends the manifest until it is acknowledged and waits until all entries are ready and all runners are known.
@@ -304,7 +341,7 @@
 	end := time.Now().Add(20 * time.Second)
 	for i := 0; ; i++ {
 		address := fmt.Sprintf("%s:%d", c.frontIP(i%3), c.ports.control)
-		status, _, err := call(http.MethodPost, address, "", "/v1/Config.Replace", manifest(priority), nil, time.Second)
+		status, _, err := call(http.MethodPost, address, "", "/v1/Config.Replace", manifest(1, priority, 0), nil, time.Second)
 		if err == nil && status == http.StatusOK {
 			c.rec.printf("operator: manifest version 1 is acknowledged")
 			break
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 	"deregister": deregister,
 	"pending":    pending,
 	"manyends":   manyEnds,
+	"silent":     silent,
 }
 
 const maxTime = 110 * time.Second
