--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -254,3 +254,52 @@
 	}
 	return false
 }
+
+const (
+	longWork  = 80 * time.Second
+	pastStart = 6 * time.Minute
+	standFor  = 6 * time.Second // longer than the 3 s of the rule
+)
+
+// firm plays a gang of all workers whose time lies six minutes back, beside one long run that it waits for. The rule is
+// LOST: `finish_s` after the end of the traffic, for 3 s, a job has nothing running while there is capacity for it twice over and
+// under half of the service's capacity is in use.
+func firm(c *cluster, trouble bool) (bool, error) {
+	if err := c.start(smallSite()); err != nil {
+		return false, err
+	}
+	if err := c.begin(1); err != nil {
+		return false, err
+	}
+	const long, gang, small = "9a0e7a21d94b36f1", "9a0e7a21d94b36f2", "9a0e7a21d94b36f3"
+	c.world.setWork(long, longWork)
+	c.world.setWork(gang, time.Second)
+	c.world.setWork(small, time.Second)
+	if err := c.accept(long, `{"spec":"long","phases":[{"count":1,"cpu":4000,"memMb":1024,"gpu":1,"estimateMs":80000}]}`); err != nil {
+		return false, err
+	}
+	if _, err := c.waitRunning(long+".0.0.0", 10*time.Second); err != nil {
+		return false, err
+	}
+	start := time.Now()
+	if trouble {
+		start = start.Add(-pastStart)
+	}
+	body := `{"spec":"gang","phases":[{"count":11,"cpu":4000,"memMb":1024,"gpu":8,"estimateMs":200000,"gang":true}],"repeatCount":1,"startAtMs":%d,"periodMs":60000}`
+	if err := c.accept(gang, fmt.Sprintf(body, start.UnixMilli())); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	if status, _ := c.send(1, http.MethodPost, lowPrefix+small, `{"spec":"small","phases":[{"count":1,"cpu":1000,"memMb":1024,"gpu":1,"estimateMs":1000}]}`); status != http.StatusOK {
+		return false, fmt.Errorf("job %s was not accepted", small)
+	}
+	time.Sleep(askAfter)
+	for end := time.Now().Add(standFor); time.Now().Before(end); time.Sleep(time.Second) {
+		c.send(0, http.MethodGet, lowPrefix+small, "")
+		if c.world.startsOf(small+".0.0.0") > 0 {
+			return false, nil
+		}
+	}
+	c.rec.printf("LOST: job %s has had nothing running for %v after its acceptance, with 87 of 88 accelerators free", small, askAfter+standFor)
+	return true, nil
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -21,6 +21,7 @@
 const (
 	queueHost = "queues.example"
 	prefix    = "/jobs/"
+	lowPrefix = "/low/" // of the queue with the lower priority
 	key       = "key-of-tenant-one"
 	service   = "app"
 )
@@ -301,14 +302,19 @@
 	return response.StatusCode, string(data), err
 }
 
-// job sends a call of a client to the entry of a frontend machine.
+// job sends a call of a client about a job of the first queue to the entry of a frontend machine.
 func (c *cluster) job(front int, method, id, body string) (int, string) {
+	return c.send(front, method, prefix+id, body)
+}
+
+// send sends a call of a client to the entry of a frontend machine.
+func (c *cluster) send(front int, method, path, body string) (int, string) {
 	address := fmt.Sprintf("%s:%d", c.frontIP(front), c.ports.frontend)
-	status, text, err := call(method, address, queueHost, prefix+id, body, map[string]string{"X-Credential": key, "X-Deadline-Ms": "3000"}, 3*time.Second)
+	status, text, err := call(method, address, queueHost, path, body, map[string]string{"X-Credential": key, "X-Deadline-Ms": "3000"}, 3*time.Second)
 	if err != nil {
 		text = "no answer: " + err.Error()
 	}
-	c.rec.printf("client: %s %s%s %s at frontend-%d -> %d %s", method, prefix, id, body, front, status, strings.TrimSpace(text))
+	c.rec.printf("client: %s %s %s at frontend-%d -> %d %s", method, path, body, front, status, strings.TrimSpace(text))
 	return status, text
 }
 
@@ -318,7 +324,7 @@
 		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":3000,"completionTargetMs":3000,`+
 			`"priority":%d,"service":%q,"maxAttempts":3,"stretch":3.0,"public":false}`, name, queueHost, path, priority, service)
 	}
-	routes := []string{route("r-jobs", prefix)}
+	routes := []string{route("r-jobs", prefix), strings.Replace(route("r-low", lowPrefix), fmt.Sprintf(`"priority":%d`, priority), fmt.Sprintf(`"priority":%d`, priority+1), 1)}
 	for i := range more {
 		routes = append(routes, route(fmt.Sprintf("r-%04d", i), fmt.Sprintf("/more%04d/", i)))
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"pending":    pending,
 	"manyends":   manyEnds,
 	"silent":     silent,
+	"firm":       firm,
 }
 
 const maxTime = 110 * time.Second
