Review case 4: up to nine runners leave

A freeze breaks the rule in about half of the cases, by a race at the wake-up; more of them make a run that shows nothing rarer.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -60,7 +60,7 @@
 	freezeBefore = 1500 * time.Millisecond // from the freeze until the runner deregisters
 	freezeTime   = 4 * time.Second
 	endsAfter    = 4 * time.Second // an unacknowledged runner ends this long after the second that it waits
-	rounds       = 6
+	rounds       = 9
 )
 
 // deregister plays runners that drain, deregister and end, one after the other, each while the process beside it stands
