--- a/internal/coordinator/admission.go
+++ b/internal/coordinator/admission.go
@@ -9,6 +9,12 @@
 // noCapacityRetryAfter tells callers when to retry a job that no known worker can hold: several announcement intervals.
 const noCapacityRetryAfter timekeeper.Millis = 2000
 
+// noRoomRetryAfter tells callers when to retry while the disks are short of room: ended jobs have been dropped by then.
+const noRoomRetryAfter timekeeper.Millis = 5000
+
+// noRoom is the reason of a refusal for lack of room on the disk.
+const noRoom = "the disks of the control replicas have no room for more"
+
 // admit returns the refusal of a job that cannot be accepted, or nil.
 func admit(s tracker.State, q modeler.Queue, j modeler.Job) *CallResponse {
 	if q.NeedsAdvisor {
--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -50,6 +50,9 @@
 	if refusal := admit(state, q, j); refusal != nil {
 		return c.refuse(r, id, *refusal), nil
 	}
+	if !c.node.HasRoom() {
+		return c.refuse(r, id, CallResponse{Outcome: OutcomeRefused, Reason: noRoom, RetryAfter: noRoomRetryAfter}), nil
+	}
 	return c.accept(ctx, q, j), nil
 }
 
@@ -164,6 +167,9 @@
 		return &ConfigurationResponse{Reply: c.reply(), Outcome: OutcomeNotAcceptable}, nil
 	}
 	current := c.machine.State().Configuration.Version
+	if r.Configuration.Version > current && !c.node.HasRoom() {
+		return &ConfigurationResponse{Reply: c.reply(), Outcome: OutcomeRefused, Reason: noRoom}, nil
+	}
 	if r.Configuration.Version > current {
 		if _, err := c.propose(ctx, tracker.Command{Configure: &r.Configuration}); err != nil {
 			return &ConfigurationResponse{Reply: c.notLeader()}, nil
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -43,6 +43,7 @@
 	var refusals refusalReport
 	timekeeper.Repeat(ctx, reconcileInterval, func() {
 		c.reportRefusals(&refusals)
+		c.reportStorage()
 		if c.node.Status().Role == replicator.Leader {
 			c.reconcileOnce(ctx)
 		}
@@ -67,6 +68,14 @@
 	*last = refusalReport{refused, now}
 }
 
+// reportStorage publishes the space that the journal takes on its disk.
+func (c *Coordinator) reportStorage() {
+	u := c.node.StorageUsage()
+	c.meter.Gauge("journal_log_bytes", float64(u.Log))
+	c.meter.Gauge("journal_log_growth_bytes", float64(u.Growth))
+	c.meter.Gauge("journal_snapshot_bytes", float64(u.Snapshot))
+}
+
 func (c *Coordinator) reconcileOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/coordinator/protocol.go
+++ b/internal/coordinator/protocol.go
@@ -104,6 +104,7 @@
 	Outcome       Outcome `cbor:"2,keyasint"`
 	Version       uint64  `cbor:"3,keyasint"` // in force
 	Source        []byte  `cbor:"4,keyasint,omitempty"`
+	Reason        string  `cbor:"5,keyasint,omitempty"`
 }
 
 // AttachRequest makes the sending agent the one that controls its worker.
--- a/internal/coordinator/refusal_test.go
+++ b/internal/coordinator/refusal_test.go
@@ -22,15 +22,23 @@
 
 func (discard) Send(replicator.Membership, []replicator.Message) {}
 
-// newNode returns a replica that has not been started, with an empty machine.
+// newNode returns a replica that has not been started, with an empty machine and a disk of unknown size.
 func newNode(t *testing.T) (*replicator.Node, *tracker.Machine) {
+	t.Helper()
+	return newNodeOn(t, 0)
+}
+
+// newNodeOn is like newNode, with a disk of the given size.
+func newNodeOn(t *testing.T, diskBytes int64) (*replicator.Node, *tracker.Machine) {
 	t.Helper()
 	j, err := journaler.OpenNamed(t.TempDir(), "a")
 	if err != nil {
 		t.Fatal(err)
 	}
 	machine := tracker.NewMachine()
-	node, err := replicator.NewNode(replicator.NodeConfig{Journal: j, Machine: machine, Transport: discard{}, Clock: timekeeper.Monotonic{}, Seed: 1})
+	node, err := replicator.NewNode(replicator.NodeConfig{
+		Journal: j, Machine: machine, Transport: discard{}, Clock: timekeeper.Monotonic{}, Seed: 1, DiskBytes: diskBytes,
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +49,13 @@
 // startCoordinator returns a coordinator that leads a log of its own, and a context for calls.
 func startCoordinator(t *testing.T) (*Coordinator, context.Context) {
 	t.Helper()
-	node, machine := newNode(t)
+	return startCoordinatorOn(t, 0)
+}
+
+// startCoordinatorOn is like startCoordinator, with a disk of the given size.
+func startCoordinatorOn(t *testing.T, diskBytes int64) (*Coordinator, context.Context) {
+	t.Helper()
+	node, machine := newNodeOn(t, diskBytes)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run(ctx) }()
@@ -127,6 +141,47 @@
 	}
 }
 
+// TestSubmissionsAreRefusedWithoutRoom fills a small disk with a configuration. It guards against replicas that take what
+// their disks have no room for, and then answer nothing any more.
+func TestSubmissionsAreRefusedWithoutRoom(t *testing.T) {
+	const diskBytes, sourceBytes = 1 << 20, 500 << 10
+	c, ctx := startCoordinatorOn(t, diskBytes)
+	held := configuration(1, "/q/", "k")
+	held.Source = make([]byte, sourceBytes)
+	held.Queues[0].Public = true
+	next := held
+	next.Version = 2
+	var outcomes []Outcome
+	for _, sent := range []modeler.Configuration{held, next} {
+		answer, err := c.configure(ctx, &ConfigureRequest{Configuration: sent})
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcomes = append(outcomes, answer.Outcome)
+	}
+	step := modeler.Step{Count: 1, Need: modeler.Resources{Accelerators: 1}, Estimate: 100}
+	if _, err := c.propose(ctx, tracker.Command{Attach: &tracker.Attach{
+		Worker: "a", Incarnation: tracker.Incarnation{ID: "a"}, Profile: tracker.Profile{Service: "app", Capacity: modeler.Resources{Accelerators: 1}},
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	submitted, err := c.submit(ctx, &SubmitRequest{Address: Address{Host: "h", Path: "/q/job"}, Steps: []modeler.Step{step}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcomes = append(outcomes, submitted.Outcome)
+	if diff := cmp.Diff([]Outcome{OutcomeOK, OutcomeRefused, OutcomeRefused}, outcomes); diff != "" {
+		t.Errorf("outcomes of two configurations and a job (-want +got):\n%s", diff)
+	}
+	if submitted.Reason != noRoom || submitted.RetryAfter == 0 {
+		t.Errorf("the job is refused because %q, to be sent again after %v; want %q and a time", submitted.Reason, submitted.RetryAfter, noRoom)
+	}
+	read, err := c.read(ctx, &ReadRequest{})
+	if err != nil || read.Version != 1 || len(read.Source) != sourceBytes {
+		t.Errorf("the configuration that is read has version %d and %d bytes, error %v; want the first one", read.Version, len(read.Source), err)
+	}
+}
+
 // TestRepeatedCancelIsNotRefused cancels a job with a key that no workspace holds. The call is refused, unless an earlier
 // attempt of it may have been taken.
 func TestRepeatedCancelIsNotRefused(t *testing.T) {
--- a/internal/journaler/file.go
+++ b/internal/journaler/file.go
@@ -28,17 +28,24 @@
 func writeSynced(path string, data []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
-		return fmt.Errorf("create file: %w", err)
+		return fmt.Errorf("create file: %w", wrapDiskFull(err))
 	}
-	if _, err := file.Write(data); err != nil {
+	if err := writeAndSync(file, data); err != nil {
 		_ = file.Close()
+		_ = os.Remove(path) // a full disk has no room for a part of a file; removeTemporary finds what stays
+		return err
+	}
+	return file.Close()
+}
+
+func writeAndSync(file *os.File, data []byte) error {
+	if _, err := file.Write(data); err != nil {
 		return fmt.Errorf("write file: %w", wrapDiskFull(err))
 	}
 	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return fmt.Errorf("sync file: %w", err)
+		return fmt.Errorf("sync file: %w", wrapDiskFull(err))
 	}
-	return file.Close()
+	return nil
 }
 
 // wrapDiskFull wraps an error in ErrDiskFull if the disk is full, and returns any other error unchanged.
--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -22,6 +22,8 @@
 	dirMode                = 0o750
 	fileMode               = 0o640
 	retainedBeforeSnapshot = 1024 // entries kept for followers that lag slightly behind
+	// retainedBytes bounds the data of the entries that are kept for followers that lag slightly behind.
+	retainedBytes = 4 << 20
 )
 
 // ErrDiskFull reports that an append is not durable because the disk is full. The replica must step down.
@@ -52,6 +54,8 @@
 	dir      string
 	file     segment
 	size     int64 // bytes of the current segment that are known to be durable
+	older    int64 // bytes of the earlier segments that are still there
+	base     int64 // bytes of the current segment when it was started
 	sequence uint64
 	identity uint64
 	created  bool
@@ -63,6 +67,13 @@
 	entries  []Entry
 }
 
+// Usage is the space in bytes that a journal takes on its disk.
+type Usage struct {
+	Log      int64 // of all segments
+	Growth   int64 // of the log since the last snapshot was installed
+	Snapshot int64 // of the data of the newest snapshot
+}
+
 // Open opens the journal in dir. It creates the directory and a random identity if they do not exist.
 func Open(dir string) (*Journal, error) { return open(dir, uuid.New()) }
 
@@ -109,6 +120,12 @@
 // Entries returns the entries after the compaction point. The caller must not modify them.
 func (j *Journal) Entries() []Entry { return j.entries }
 
+// Usage returns the space that the journal takes.
+func (j *Journal) Usage() Usage {
+	log := j.older + j.size
+	return Usage{Log: log, Growth: log - j.base, Snapshot: int64(len(j.snapshot.Data))}
+}
+
 // Append makes b durable. Its entries replace all entries at or after the index of the first.
 func (j *Journal) Append(b Batch) error {
 	if j.fatalErr != nil {
@@ -197,6 +214,14 @@
 	return j.rollSegment()
 }
 
+// DropPrepared removes what PrepareSnapshot has written of a snapshot that is not installed.
+func (j *Journal) DropPrepared(s Snapshot) error {
+	if err := os.Remove(j.pendingSnapshotPath(s)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return fmt.Errorf("remove prepared snapshot: %w", err)
+	}
+	return nil
+}
+
 // SaveSnapshot prepares and installs s.
 func (j *Journal) SaveSnapshot(s Snapshot) error {
 	if err := j.PrepareSnapshot(s); err != nil {
@@ -205,8 +230,9 @@
 	return j.InstallSnapshot(s)
 }
 
-// compact drops entries that are more than retainedBeforeSnapshot before the snapshot. If the log lacks the snapshot's
-// own entry, it has diverged or is too short, and compact drops all entries.
+// compact drops the entries before the snapshot but for the last ones: at most retainedBeforeSnapshot, with at most
+// retainedBytes of data. If the log lacks the snapshot's own entry, it has diverged or is too short, and compact drops all
+// entries.
 func (j *Journal) compact(s Snapshot) {
 	if j.first == s.Index+1 {
 		return
@@ -217,14 +243,27 @@
 		j.first = s.Index + 1
 		return
 	}
-	if s.Index <= j.first+retainedBeforeSnapshot {
+	from := j.retainedFrom(s.Index)
+	if from <= j.first {
 		return
 	}
-	from := s.Index - retainedBeforeSnapshot
 	j.entries = append([]Entry(nil), j.entries[from-j.first:]...)
 	j.first = from
 }
 
+// retainedFrom returns the index of the first entry to retain before a snapshot at index, which is always retained.
+func (j *Journal) retainedFrom(index uint64) uint64 {
+	from, size := index, 0
+	for from > j.first && index-from < retainedBeforeSnapshot {
+		size += len(j.entries[from-1-j.first].Data)
+		if size > retainedBytes {
+			break
+		}
+		from--
+	}
+	return from
+}
+
 // rollSegment starts a segment with a copy of the hard state and the retained entries, and removes older segments.
 func (j *Journal) rollSegment() error {
 	old := j.file
@@ -243,10 +282,15 @@
 		j.fatalErr = err
 		return err
 	}
+	j.base = j.size
 	if err := old.Close(); err != nil {
 		return fmt.Errorf("close old segment: %w", err)
 	}
-	return j.removeSegmentsBefore(j.sequence)
+	if err := j.removeSegmentsBefore(j.sequence); err != nil {
+		return err
+	}
+	j.older = 0
+	return nil
 }
 
 func (j *Journal) removeSegmentsBefore(sequence uint64) error {
@@ -369,6 +413,7 @@
 		j.replayBatch(b)
 	}
 	if !last {
+		j.older += int64(len(data))
 		return nil
 	}
 	if _, err := fmt.Sscanf(name, segmentPattern, &j.sequence); err != nil {
--- a/internal/launcher/replica.go
+++ b/internal/launcher/replica.go
@@ -28,6 +28,7 @@
 	DataDir     string
 	Seeds       []string // addresses of the initial voters
 	Bootstrap   bool     // whether the whole system starts for the first time
+	DiskBytes   int64    // size of the disk of DataDir; zero if it is unknown
 }
 
 // Replica is the control role for jobs of steps and tasks.
@@ -63,6 +64,7 @@
 	var err error
 	r.node, err = replicator.NewNode(replicator.NodeConfig{
 		Journal: r.journal, Machine: machine, Transport: r.transport, Clock: timekeeper.Monotonic{}, Seed: rand.Uint64(),
+		DiskBytes: r.settings.DiskBytes, Log: r.log,
 	})
 	if err != nil {
 		return fmt.Errorf("restore replica: %w", err)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/queuer"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 )
 
@@ -19,6 +20,7 @@
 	deliverMethod  = "Deliver"
 	snapshotMethod = "Snapshot"
 	queueBatches   = 256
+	queueBytes     = 8 << 20 // of the entries that wait for one peer
 	chunkBytes     = 256 << 10
 
 	// MaxMessageBytes is the largest message that a process of the system receives.
@@ -115,7 +117,7 @@
 	if p := m.peers[address]; p != nil {
 		return p
 	}
-	p := &peer{address: address, selfAddress: m.selfAddress, queue: make(chan []replicator.Message, queueBatches), lastReceivedFrom: m.lastReceivedFrom}
+	p := &peer{address: address, selfAddress: m.selfAddress, queue: queuer.New(queueBatches, queueBytes, batchBytes), lastReceivedFrom: m.lastReceivedFrom}
 	m.peers[address] = p
 	m.goroutines.Go(func() { p.run(m.ctx) })
 	return p
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/backoff"
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/queuer"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 )
 
@@ -34,7 +35,7 @@
 type peer struct {
 	address          string
 	selfAddress      string
-	queue            chan []replicator.Message
+	queue            *queuer.Queue[[]replicator.Message]
 	lastReceivedFrom func(address string) time.Time
 
 	conn     *grpc.ClientConn
@@ -42,11 +43,14 @@
 	dialedAt time.Time
 }
 
-func (p *peer) enqueue(batch []replicator.Message) {
-	select {
-	case p.queue <- batch:
-	default:
+func (p *peer) enqueue(batch []replicator.Message) { p.queue.Offer(batch) }
+
+func batchBytes(batch []replicator.Message) int {
+	size := 0
+	for _, m := range batch {
+		size += m.Bytes()
 	}
+	return size
 }
 
 func (p *peer) run(ctx context.Context) {
@@ -55,7 +59,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case batch := <-p.queue:
+		case batch := <-p.queue.Items():
+			p.queue.Taken(batch)
 			p.send(ctx, batch)
 		}
 	}
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -247,6 +247,11 @@
 	return index, term, err
 }
 
+// pendingBytes returns the bytes of the entries that are not yet committed.
+func (c *Core) pendingBytes() int {
+	return entryBytes(c.log.slice(c.commit, c.log.last(), maxPendingEntries))
+}
+
 func voterChanges(a, b Membership) int {
 	n := 0
 	for _, o := range a.Members {
--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -40,3 +40,20 @@
 	LeaderTransfer bool                `cbor:"12,keyasint,omitempty"` // the leader requested this election
 	Snapshot       *journaler.Snapshot `cbor:"13,keyasint,omitempty"`
 }
+
+// Bytes returns the number of bytes of the message's entries and snapshot.
+func (m Message) Bytes() int {
+	size := entryBytes(m.Entries)
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
+func entryBytes(entries []journaler.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Data)
+	}
+	return size
+}
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
+	"github.com/lagoonmill/lagoonmill/internal/queuer"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
@@ -20,12 +22,12 @@
 
 const (
 	maxBatch             = 256
+	maxPendingBytes      = 16 << 20 // of the proposals that are not yet committed; one more may exceed it
 	inboxCapacity        = 4096
+	inboxBytes           = 16 << 20 // of the entries and snapshots in the inbox
 	tickInterval         = 30 * timekeeper.Millis(1)
 	defaultSnapshotEvery = 20_000
 	maxCommittedBatch    = 512
-	// diskFullRetryDelay is the delay before a write that failed on a full disk is retried.
-	diskFullRetryDelay = 200 * time.Millisecond
 )
 
 // StateMachine is the state that the commands of the log change. Node calls it from one goroutine, in log order.
@@ -81,11 +83,13 @@
 	machine       StateMachine
 	transport     Transport
 	clock         timekeeper.Clock
+	log           logger.Logger
+	storage       storage
 	snapshotEvery uint64 // entries between snapshots
 
 	proposals       chan proposal
 	readRequests    chan readRequest
-	inbox           chan Message
+	inbox           *queuer.Queue[Message]
 	transfers       chan chan bool
 	bootstraps      chan Membership
 	peerRequests    chan chan []Peer
@@ -98,13 +102,15 @@
 	applied            uint64
 	snapshotIndex      uint64
 	snapshotInProgress bool
+	nextSnapshot       timekeeper.Millis // earliest time of the next snapshot, after one that the disk had no room for
 	view               atomic.Pointer[view]
 	lastTick           atomic.Int64
 	refused            atomic.Uint64
 	err                error
 }
 
-// NodeConfig holds the parts and settings of a node. A zero SnapshotEvery selects the default of 20,000 entries.
+// NodeConfig holds the parts and settings of a node. A zero SnapshotEvery selects the default of 20,000 entries, a zero
+// DiskBytes stands for a disk of unknown size.
 type NodeConfig struct {
 	Journal       *journaler.Journal
 	Machine       StateMachine
@@ -113,6 +119,8 @@
 	Timing        Timing
 	Seed          uint64
 	SnapshotEvery uint64
+	DiskBytes     int64 // size of the journal's disk
+	Log           logger.Logger
 }
 
 // NewNode returns a node that is restored from the journal, with the state machine at the newest snapshot. The caller
@@ -130,10 +138,11 @@
 	}
 	n := &Node{
 		core: core, journal: j, append: j.Append, machine: config.Machine, transport: config.Transport, clock: config.Clock,
+		log: config.Log, storage: newStorage(config.DiskBytes, j.Usage()),
 		snapshotEvery:   config.SnapshotEvery,
 		proposals:       make(chan proposal, maxBatch),
 		readRequests:    make(chan readRequest, maxBatch),
-		inbox:           make(chan Message, inboxCapacity),
+		inbox:           queuer.New(inboxCapacity, inboxBytes, Message.Bytes),
 		transfers:       make(chan chan bool),
 		bootstraps:      make(chan Membership),
 		peerRequests:    make(chan chan []Peer),
@@ -185,10 +194,7 @@
 		n.refused.Add(1)
 		return
 	}
-	select {
-	case n.inbox <- m:
-	default:
-	}
+	n.inbox.Offer(m)
 }
 
 // Propose appends command to the log and returns the state machine's result once it is committed and applied. After
@@ -276,6 +282,7 @@
 
 // Run runs the replica. It returns nil when ctx is done, and an error if the journal or the state machine fails.
 func (n *Node) Run(ctx context.Context) error {
+	defer n.awaitSnapshot()
 	defer close(n.done)
 	defer n.failAll(ErrStopped)
 	ticker := time.NewTicker(tickInterval.Duration())
@@ -292,7 +299,7 @@
 			now := n.clock.Now()
 			n.core.Tick(now)
 			n.lastTick.Store(int64(now))
-		case m := <-n.inbox:
+		case m := <-n.inbox.Items():
 			n.stepMessages(m)
 		case p := <-n.proposals:
 			n.handleProposals(p)
@@ -317,7 +324,7 @@
 	n.step(now, m)
 	for range maxBatch {
 		select {
-		case m = <-n.inbox:
+		case m = <-n.inbox.Items():
 			n.step(now, m)
 		default:
 			return
@@ -326,6 +333,7 @@
 }
 
 func (n *Node) step(now timekeeper.Millis, m Message) {
+	n.inbox.Taken(m)
 	if !n.core.Step(now, m) {
 		n.refused.Add(1)
 	}
@@ -356,9 +364,12 @@
 		p.done <- result{err: ErrNotLeader}
 		return
 	}
-	if p.change == nil {
+	switch {
+	case n.core.pendingBytes() >= maxPendingBytes:
+		err = ErrOverloaded
+	case p.change == nil:
 		index, term, err = n.core.Propose(p.kind, p.data)
-	} else {
+	default:
 		index, term, err = n.proposeMembership(p.change)
 	}
 	if err != nil {
@@ -417,38 +428,24 @@
 
 func (n *Node) persist(ctx context.Context, r Ready) error {
 	if r.Snapshot != nil {
-		if err := n.installSnapshot(*r.Snapshot); err != nil {
+		if err := n.installSnapshot(ctx, *r.Snapshot); err != nil {
 			return err
 		}
 	}
 	if !r.Persist {
 		return nil
 	}
-	if err := n.appendWithRetry(ctx, journaler.Batch{State: r.State, Entries: r.Entries}); err != nil {
+	batch := journaler.Batch{State: r.State, Entries: r.Entries}
+	if err := n.writeWithRetry(ctx, "append", func() error { return n.append(batch) }); err != nil {
 		return fmt.Errorf("write log: %w", err)
 	}
+	n.storage.set(n.journal.Usage())
 	if len(r.Entries) > 0 {
 		n.core.Persisted(r.Entries[len(r.Entries)-1].Index)
 	}
 	return nil
 }
 
-// appendWithRetry makes a batch durable and retries while the disk is full. The replica does nothing else meanwhile, so
-// that another replica becomes the leader.
-func (n *Node) appendWithRetry(ctx context.Context, b journaler.Batch) error {
-	for {
-		err := n.append(b)
-		if !errors.Is(err, journaler.ErrDiskFull) {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(diskFullRetryDelay):
-		}
-	}
-}
-
 func (n *Node) apply(entries []journaler.Entry) {
 	for _, e := range entries {
 		var value any
