Probe each channel between replicas on itself, in both directions

Cause: a replica took messages from a peer as a sign that its own channel to the peer works. The first of two to notice a silence dialled anew, the other heard from it again and kept its dead channel, so that no vote came back.

Change: a channel is probed on its own connection every 250 ms and given up after 750 ms without an answer (2039, with the ages of what was sent, answered and received). An unused one is closed after two seconds. Servers close silent connections.

Why it works: what arrives on another channel counts for nothing any more; a probe needs just the two directions that an answer needs.

Failed before: TestOneSilentDirectionIsReplacedWhileTheOtherWorks, TestSenderIsNotStuckOnAChannelThatTakesNothing (no message within 20 s), TestSnapshotOnASilentChannelEnds (still sending after 20 s), and TestLeaderIsFoundAfterOpenConnectionsGoSilent/all (no answer within 12 s).

--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/lagoonmill/lagoonmill/internal/configurer"
 	"github.com/lagoonmill/lagoonmill/internal/controller"
@@ -41,9 +43,9 @@
 	c.journal = journal
 	machine := registrar.NewMachine(nil)
 	receive := func(m replicator.Message) { c.node.Receive(m) }
-	c.transport = messenger.New(c.group.Context(), c.settings.ControlAddress, receive)
+	c.transport = messenger.New(c.group.Context(), c.settings.ControlAddress, receive, c.log)
 	c.node, err = replicator.NewNode(replicator.NodeConfig{
-		Journal: journal, Machine: machine, Transport: c.transport, Clock: timekeeper.Monotonic{},
+		Journal: journal, Machine: machine, Transport: c.transport, Clock: timekeeper.Monotonic{}, Log: c.log,
 		Timing: replicator.Timing{
 			ElectionTimeout:   timekeeper.FromDuration(c.settings.ElectionTimeout),
 			HeartbeatInterval: timekeeper.FromDuration(c.settings.HeartbeatInterval),
@@ -92,8 +94,18 @@
 	return c.journal.Close()
 }
 
+const (
+	// keepAliveTime is the time without traffic after which a server checks whether an incoming connection still works.
+	keepAliveTime = 30 * time.Second
+	// keepAliveTimeout is the time that the other end of such a connection has to answer.
+	keepAliveTimeout = 5 * time.Second
+)
+
+// newGRPC returns a server that closes incoming connections which have gone silent, so that they do not use up its file
+// descriptors.
 func newGRPC() *grpc.Server {
-	return grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.MaxRecvMsgSize(messenger.MaxMessageBytes))
+	return grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}), grpc.MaxRecvMsgSize(messenger.MaxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}))
 }
 
 func serveGRPC(server *grpc.Server, listener net.Listener) error {
--- a/internal/launcher/replica.go
+++ b/internal/launcher/replica.go
@@ -60,7 +60,7 @@
 	}
 	machine := tracker.NewMachine()
 	address := r.settings.Coordinator.Address
-	r.transport = messenger.New(r.group.Context(), address, func(m replicator.Message) { r.node.Receive(m) })
+	r.transport = messenger.New(r.group.Context(), address, func(m replicator.Message) { r.node.Receive(m) }, r.log)
 	var err error
 	r.node, err = replicator.NewNode(replicator.NodeConfig{
 		Journal: r.journal, Machine: machine, Transport: r.transport, Clock: timekeeper.Monotonic{}, Seed: rand.Uint64(),
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -11,6 +11,7 @@
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/journaler"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/queuer"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 )
@@ -48,19 +49,22 @@
 	ctx         context.Context
 	selfAddress string
 	receive     func(replicator.Message)
+	log         logger.Logger
 
 	mu           sync.Mutex
 	addresses    map[replicator.ReplicaID]string
 	peers        map[string]*peer
 	lastReceived map[string]time.Time // time of the last messages, by sender address
 	goroutines   sync.WaitGroup
+
+	snapshotFailures logger.Throttle
 }
 
 // New returns a messenger that gives selfAddress as the sender's address and passes each received message to receive.
 // Its goroutines end when ctx is done; Wait waits for them.
-func New(ctx context.Context, selfAddress string, receive func(replicator.Message)) *Messenger {
+func New(ctx context.Context, selfAddress string, receive func(replicator.Message), log logger.Logger) *Messenger {
 	return &Messenger{
-		ctx: ctx, selfAddress: selfAddress, receive: receive,
+		ctx: ctx, selfAddress: selfAddress, receive: receive, log: log,
 		addresses:    map[replicator.ReplicaID]string{},
 		peers:        map[string]*peer{},
 		lastReceived: map[string]time.Time{},
@@ -72,6 +76,7 @@
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*any)(nil),
+		Methods:     []grpc.MethodDesc{encoder.Unary(probeMethod, handleProbe)},
 		Streams: []grpc.StreamDesc{
 			encoder.Stream(deliverMethod, m.serveDeliver),
 			encoder.Stream(snapshotMethod, m.serveSnapshot),
@@ -117,7 +122,10 @@
 	if p := m.peers[address]; p != nil {
 		return p
 	}
-	p := &peer{address: address, selfAddress: m.selfAddress, queue: queuer.New(queueBatches, queueBytes, batchBytes), lastReceivedFrom: m.lastReceivedFrom}
+	p := &peer{
+		address: address, selfAddress: m.selfAddress, queue: queuer.New(queueBatches, queueBytes, batchBytes),
+		lastReceivedFrom: m.lastReceivedFrom, log: m.log,
+	}
 	m.peers[address] = p
 	m.goroutines.Go(func() { p.run(m.ctx) })
 	return p
@@ -184,19 +192,20 @@
 // startSnapshot sends a snapshot in the background, on a stream of its own. The caller holds mu.
 func (m *Messenger) startSnapshot(address string, msg replicator.Message) {
 	m.goroutines.Go(func() {
-		if err := m.sendSnapshot(address, msg); err != nil {
-			return // the leader sends the snapshot again later
+		index := msg.Snapshot.Index
+		if err := m.sendSnapshot(address, msg); err != nil && m.ctx.Err() == nil { // the leader sends it again later
+			m.snapshotFailures.Log(m.log, logger.SnapshotNotSent, logger.F("address", address), logger.F("index", index), logger.F("error", err))
 		}
 	})
 }
 
 func (m *Messenger) sendSnapshot(address string, msg replicator.Message) error {
-	conn, err := Dial(address)
+	c, err := openChannel(m.ctx, address)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = conn.Close() }()
-	stream, err := encoder.OpenStream(m.ctx, conn, "/"+serviceName+"/"+snapshotMethod)
+	defer c.close()
+	stream, err := c.open(snapshotMethod)
 	if err != nil {
 		return fmt.Errorf("open snapshot stream: %w", err)
 	}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -5,22 +5,28 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
 )
 
-// blackholeProxy forwards bytes to target. After blackhole, connections that were open stay open but drop all bytes.
+// blackholeProxy forwards bytes to target. After blackhole, connections that were open stay open but drop all bytes. After
+// freeze, they take no more bytes. Each connection freezes once it has carried byteLimit bytes one way, if that is set.
 type blackholeProxy struct {
 	listener net.Listener
 	target   string
 
+	byteLimit atomic.Int64
+
 	mu         sync.Mutex
 	blackholed chan struct{} // closed to drop all bytes on the connections made so far
+	frozen     chan struct{} // closed to take no more bytes on the connections made so far
 }
 
 func newBlackholeProxy(t *testing.T, target string) *blackholeProxy {
@@ -30,7 +36,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	p := &blackholeProxy{listener: listener, target: target, blackholed: make(chan struct{})}
+	p := &blackholeProxy{listener: listener, target: target, blackholed: make(chan struct{}), frozen: make(chan struct{})}
 	go p.accept()
 	return p
 }
@@ -47,21 +53,27 @@
 			continue
 		}
 		p.mu.Lock()
-		blackholed := p.blackholed
+		blackholed, frozen := p.blackholed, p.frozen
 		p.mu.Unlock()
-		go forward(out, in, blackholed)
-		go forward(in, out, blackholed)
+		go forward(out, in, blackholed, frozen, p.byteLimit.Load())
+		go forward(in, out, blackholed, frozen, p.byteLimit.Load())
 	}
 }
 
-func forward(to io.Writer, from io.Reader, blackholed <-chan struct{}) {
+func forward(to io.Writer, from io.Reader, blackholed, frozen <-chan struct{}, byteLimit int64) {
 	buffer := make([]byte, 4096)
+	carried := int64(0)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
+		if carried += int64(n); byteLimit > 0 && carried > byteLimit {
+			return
+		}
 		select {
+		case <-frozen:
+			return
 		case <-blackholed:
 			continue
 		default:
@@ -79,6 +91,13 @@
 	p.blackholed = make(chan struct{})
 }
 
+func (p *blackholeProxy) freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.frozen)
+	p.frozen = make(chan struct{})
+}
+
 func serve(t *testing.T, m *Messenger, listener net.Listener) {
 	t.Helper()
 	server := grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}))
@@ -101,10 +120,10 @@
 		case received <- m:
 		default:
 		}
-	})
+	}, logger.Logger{})
 	serve(t, receiver, listener)
 	proxy := newBlackholeProxy(t, listener.Addr().String())
-	sender := New(ctx, "127.0.0.1:1", func(replicator.Message) {})
+	sender := New(ctx, "127.0.0.1:1", func(replicator.Message) {}, logger.Logger{})
 	t.Cleanup(func() { cancel(); sender.Wait() })
 	members := replicator.Membership{Members: []replicator.Member{{ID: 2, Address: proxy.listener.Addr().String(), Voter: true}}}
 
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -7,9 +7,10 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 
-	"github.com/lagoonmill/lagoonmill/internal/encoder"
+	"github.com/lagoonmill/lagoonmill/internal/logger"
 	"github.com/lagoonmill/lagoonmill/internal/queuer"
 	"github.com/lagoonmill/lagoonmill/internal/replicator"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
 const (
@@ -27,20 +28,18 @@
 	}
 }
 
-// receiveTimeout is the time without messages from a peer after which its connection is replaced: a few heartbeat
-// intervals. A connection can stop working without an error; then only missing messages reveal it.
-const receiveTimeout = time.Second
-
-// peer sends messages to one address. The goroutine of run owns the connection.
+// peer sends messages to one address. The goroutine of run owns the channel.
 type peer struct {
 	address          string
 	selfAddress      string
 	queue            *queuer.Queue[[]replicator.Message]
 	lastReceivedFrom func(address string) time.Time
+	log              logger.Logger
+	replacements     logger.Throttle
 
-	conn     *grpc.ClientConn
+	channel  *channel
 	stream   grpc.ClientStream
-	dialedAt time.Time
+	lastSent time.Time
 }
 
 func (p *peer) enqueue(batch []replicator.Message) { p.queue.Offer(batch) }
@@ -54,11 +53,19 @@
 }
 
 func (p *peer) run(ctx context.Context) {
-	defer p.closeConnection()
+	defer p.closeChannel()
+	idle := time.NewTicker(idleTimeout)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-p.channelDone():
+			p.replaceChannel(ctx)
+		case <-idle.C:
+			if p.channel != nil && p.channel.idle() {
+				p.closeChannel()
+			}
 		case batch := <-p.queue.Items():
 			p.queue.Taken(batch)
 			p.send(ctx, batch)
@@ -66,42 +73,68 @@
 	}
 }
 
-// send sends a batch. It opens a connection if there is none or if the receive timeout of the current one has expired.
-// It drops a batch that it cannot send; the protocol retransmits it.
+// channelDone returns a channel that is closed when the peer's channel is given up, or nil without one.
+func (p *peer) channelDone() <-chan struct{} {
+	if p.channel == nil {
+		return nil
+	}
+	return p.channel.ctx.Done()
+}
+
+// send sends a batch. It drops a batch that it cannot send; the protocol retransmits it.
 func (p *peer) send(ctx context.Context, batch []replicator.Message) {
-	if p.receiveTimedOut() {
-		p.closeConnection()
+	if p.channel != nil && p.channel.ctx.Err() != nil {
+		p.replaceChannel(ctx)
 	}
 	if !p.connect(ctx) {
 		return
 	}
+	p.channel.use()
 	if err := p.stream.SendMsg(&envelope{Address: p.selfAddress, Messages: batch}); err != nil {
 		p.stream = nil
+		return
 	}
-}
-
-// receiveTimedOut reports whether the connection and the last message from the peer are both older than receiveTimeout.
-func (p *peer) receiveTimedOut() bool {
-	return p.conn != nil && time.Since(p.dialedAt) > receiveTimeout && time.Since(p.lastReceivedFrom(p.address)) > receiveTimeout
+	p.lastSent = time.Now()
 }
 
 func (p *peer) connect(ctx context.Context) bool {
 	var err error
-	if p.conn == nil {
-		if p.conn, err = Dial(p.address); err != nil {
+	if p.channel == nil {
+		if p.channel, err = openChannel(ctx, p.address); err != nil {
+			p.channel = nil
 			return false
 		}
-		p.dialedAt = time.Now()
 	}
 	if p.stream == nil {
-		p.stream, err = encoder.OpenStream(ctx, p.conn, "/"+serviceName+"/"+deliverMethod)
+		p.stream, err = p.channel.open(deliverMethod)
+	}
+	if err != nil {
+		p.stream = nil
 	}
 	return err == nil
 }
 
-func (p *peer) closeConnection() {
-	if p.conn != nil {
-		_ = p.conn.Close()
+// replaceChannel closes a channel that was given up. The next message opens another one.
+func (p *peer) replaceChannel(ctx context.Context) {
+	if ctx.Err() == nil {
+		p.replacements.Log(p.log, logger.ChannelReplaced, logger.F("address", p.address), logger.F("since-sent", age(p.lastSent)),
+			logger.F("since-answered", timekeeper.FromDuration(p.channel.sinceAnswer())), logger.F("since-received", age(p.lastReceivedFrom(p.address))),
+			logger.F("error", context.Cause(p.channel.ctx)))
+	}
+	p.closeChannel()
+}
+
+// age returns the time since t, or "never" if t is zero.
+func age(t time.Time) any {
+	if t.IsZero() {
+		return "never"
+	}
+	return timekeeper.FromDuration(time.Since(t))
+}
+
+func (p *peer) closeChannel() {
+	if p.channel != nil {
+		p.channel.close()
 	}
-	p.conn, p.stream = nil, nil
+	p.channel, p.stream = nil, nil
 }
--- a/internal/replicator/core.go
+++ b/internal/replicator/core.go
@@ -104,7 +104,8 @@
 	starting          bool // since the start, this replica has neither heard from a leader, nor stood for election, nor voted
 	lastLeaderContact timekeeper.Millis
 	nextHeartbeat     timekeeper.Millis
-	votes             map[ReplicaID]bool
+	votes             map[ReplicaID]bool // of the campaign: true for a vote granted, false for one refused
+	failedCampaign    *Campaign          // the last one, until the driver has taken it
 	peers             map[ReplicaID]*progress
 	readRound         uint64
 	reads             []pendingRead
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -84,6 +84,7 @@
 	transport     Transport
 	clock         timekeeper.Clock
 	log           logger.Logger
+	campaigns     logger.Throttle // bounds the lines about elections
 	storage       storage
 	snapshotEvery uint64 // entries between snapshots
 
@@ -412,11 +413,32 @@
 	if n.core.Status().Role != Leader {
 		n.failWaiters()
 	}
+	n.reportCampaign()
 	n.startSnapshot()
 	n.publishIfChanged()
 	return nil
 }
 
+// reportCampaign logs a campaign without a majority.
+func (n *Node) reportCampaign() {
+	failed := n.core.TakeFailedCampaign()
+	if failed == nil {
+		return
+	}
+	n.campaigns.Log(n.log, logger.ElectionLost, logger.F("role", failed.Role.String()), logger.F("term", failed.Term),
+		logger.F("granted", n.addresses(failed.Granted)), logger.F("refused", n.addresses(failed.Refused)),
+		logger.F("unanswered", n.addresses(failed.Unanswered)))
+}
+
+func (n *Node) addresses(ids []ReplicaID) []string {
+	addresses := []string{}
+	for _, id := range ids {
+		member, _ := n.core.Status().Members.Member(id)
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 func (n *Node) attachSnapshots(messages []Message) []Message {
 	for i, m := range messages {
 		if m.Kind == SnapshotRequest && m.Snapshot == nil {
--- a/internal/replicator/step.go
+++ b/internal/replicator/step.go
@@ -98,6 +98,9 @@
 	if c.role != expected {
 		return
 	}
+	if _, answered := c.votes[m.From]; m.Reject && !answered {
+		c.votes[m.From] = false
+	}
 	if expected == PreCandidate && m.Reject && m.Term > c.term {
 		c.becomeFollower(m.Term, 0) // the other replica has a higher term; the next campaign starts from it
 		return
