Take no run for absent while the runner lists its ends in parts

Cause: a runner lists 500 ends at a time. A run of an earlier attachment, and one that was stopped or fenced, counted as absent once a listing lacked it, though a list that is cut proves nothing about what it lacks.

A test of the session fails in the same way for both conclusions.

Change: a listing with as many ends as a runner lists at a time is partial. No run counts as absent until a whole listing; 4032 says that a list is cut.

Why it works: ends that are committed are acknowledged, and the runner lists the next ones, so that the last part always comes; whole lists are as before.

Failed before: TestRunIsNotMissingFromAPartialListing, both cases ("the run counts as ended (lapsed) while the runner has not listed all ends").

--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -125,6 +125,10 @@
 	if n := len(s.listing.Finished); n > 0 {
 		s.listedEnd = s.listing.Finished[n-1].Number
 	}
+	if r.listing.Partial && !s.listing.Partial {
+		s.agent.log.Log(logger.ListPartial, logger.F("runner", s.incarnation.ID), logger.F("ends", len(r.listing.Finished)),
+			logger.F("last", lastCredible(0, r.listing.Finished, r.listing.Finished)))
+	}
 	s.listing = r.listing
 	s.clock = clockSample{r.listing.Clock, r.receivedAt}
 	s.reconcile()
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -34,7 +34,7 @@
 	unansweredPoll int               // number of the last poll sent before a start turned out to be unanswered; zero if none
 	abandoned      bool              // the session sends no further start
 	startConfirmed bool              // the runner has confirmed a start of this session
-	fencedAtPoll   int               // a listing of a later poll that lacks the run proves that it can no longer start; zero if not fenced
+	fencedAtPoll   int               // a whole listing of a later poll that lacks the run proves that it can no longer start; zero if not fenced
 	provedAbsent   bool              // the runner does not execute the run and can no longer start it
 	stopConfirmed  bool              // the runner has confirmed a stop
 	inFlight       bool              // a start or stop is in flight
@@ -112,7 +112,7 @@
 		}
 	}
 	for _, r := range s.runs {
-		if r.awaitsListing() && s.answeredPoll > r.fencedAtPoll {
+		if r.awaitsListing() && s.answeredPoll > r.fencedAtPoll && !s.listing.Partial {
 			r.provedAbsent = true
 		}
 	}
@@ -166,6 +166,8 @@
 	r.abandoned = r.abandoned || s.abandons(r, now)
 	mustStop := r.assignment.Stop || draining || inherited || r.abandoned
 	switch {
+	case inherited && !r.mayHaveStarted && !r.listed && s.listing.Partial:
+		// The run may be among the ends that the runner has not listed yet.
 	case mustStop && !r.mayHaveStarted && !r.listed:
 		// The runner saw this attachment's fencing token before it made its last listing, so it rejects starts of
 		// earlier attachments.
--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -74,12 +74,13 @@
 }
 
 // Listing is a runner's response to a poll: the runs that it executes, and the ends that it was not yet allowed to
-// discard.
+// discard. A partial listing lacks ends; the runner lists them once those before them may be discarded.
 type Listing struct {
 	Incarnation tracker.Incarnation
 	Clock       timekeeper.Millis
 	Running     []RunStatus
 	Finished    []tracker.End
+	Partial     bool
 }
 
 // isOf reports whether an incarnation has made the listing. A listing without a start time is taken as one of the
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -123,6 +123,46 @@
 	}
 }
 
+// TestRunIsNotMissingFromAPartialListing guards against a run that is taken for lost, and executed again, because its end
+// is not among the first ones that the runner lists: one of an earlier attachment, and one that was stopped.
+func TestRunIsNotMissingFromAPartialListing(t *testing.T) {
+	first := tracker.End{Number: 1, Run: testRun(1), Kind: tracker.EndDone}
+	second := tracker.End{Number: 2, Run: testRun(0), Kind: tracker.EndDone}
+	for name, epoch := range map[string]uint64{"earlier attachment": 4, "stopped": 5} {
+		t.Run(name, func(t *testing.T) {
+			runner := &fakeRunner{stop: VerdictDone, err: errors.New("no response")}
+			s := newTestSession(t, runner, Listing{Finished: []tracker.End{first}, Partial: true})
+			r := s.assign(t, coordinator.Assignment{Run: testRun(0), Epoch: epoch})
+			s.step(r)
+			runner.err = nil
+			r.assignment.Stop = true
+			s.step(r)
+			for serial := 2; serial < 4; serial++ {
+				s.handlePollResult(pollResult{serial: serial, verdict: VerdictDone, listing: Listing{Finished: []tracker.End{first}, Partial: true}})
+				s.step(r)
+			}
+			if kind := r.missingEnd(); kind != 0 {
+				t.Errorf("the run counts as ended (%v) while the runner has not listed all ends", kind)
+			}
+			s.handlePollResult(pollResult{serial: 4, verdict: VerdictDone, listing: Listing{Finished: []tracker.End{second}}})
+			if s.step(r); !r.ended || r.missingEnd() != 0 {
+				t.Errorf("the end in the last part of the list is recorded: %v, missing end %v", r.ended, r.missingEnd())
+			}
+		})
+	}
+}
+
+// TestRunMissingFromAWholeListingIsLost guards against a run that stands for good after the last part of a list.
+func TestRunMissingFromAWholeListingIsLost(t *testing.T) {
+	s := newTestSession(t, &fakeRunner{}, Listing{Partial: true})
+	r := s.assign(t, coordinator.Assignment{Run: testRun(0), Epoch: 4})
+	s.step(r)
+	s.handlePollResult(pollResult{serial: 2, verdict: VerdictDone})
+	if s.step(r); r.missingEnd() != tracker.EndLost {
+		t.Errorf("the run's end is %v, want %v", r.missingEnd(), tracker.EndLost)
+	}
+}
+
 // TestUnansweredStartIsMissingOnlyAfterStop sends a start that gets no response, and then has the run stopped. The
 // runner may still carry out the start, so the run counts as missing only after the stop was confirmed and a later poll
 // does not list it.
--- a/internal/executor/simrunner_test.go
+++ b/internal/executor/simrunner_test.go
@@ -92,7 +92,7 @@
 }
 
 func (r *simRunner) listing() Listing {
-	l := Listing{Incarnation: r.incarnation, Clock: r.clock, Finished: slices.Clone(r.ends[:min(len(r.ends), simPageSize)])}
+	l := Listing{Incarnation: r.incarnation, Clock: r.clock, Finished: slices.Clone(r.ends[:min(len(r.ends), simPageSize)]), Partial: len(r.ends) >= simPageSize}
 	for _, key := range r.keys() {
 		l.Running = append(l.Running, RunStatus{Run: key})
 	}
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -132,6 +132,7 @@
 	RunStopped          = declare(4017, Info, "run stopped", "The runner confirmed the order to stop; the end of the run is reported later.")
 	RunRejected         = declare(4018, Warning, "start rejected", "The runner did nothing, or the call failed; gives the runner's verdict or the error. The agent retries the start or reports that the run did not begin.")
 	RunnerCallFailed    = declare(4019, Warning, "runner call failed", "The order may have been carried out all the same; it is sent again.")
+	ListPartial         = declare(4032, Info, "runner lists its ends in parts", "The runner has more ends than it lists at a time. Gives the number of ends listed and the last one's number. No run counts as lost until the last part has been listed.")
 	AttachmentLost      = declare(4020, Warning, "attachment lost", "The leader detached the worker, another process attached to it, or the runner has a new incarnation; also logged when an attempt to attach fails. The agent attaches again.")
 	LeaderFound         = declare(4021, Info, "control leader found", "Gives its address.")
 	ReplicasReceived    = declare(4024, Info, "replica addresses received", "Another process announced the control replicas. Gives the leader, the term, the revision of the membership and the addresses.")
