Replace connections to replicas that were idle, before a call is sent on one

A process keeps a connection to each control process. Whether one works was learnt from the timeout of a call on it alone, 600 ms for each address, and the calls of operators have 900 ms.

Change: a connection that no call has used for two seconds is replaced before the next call. Only the one to the leader is in use all the time.

Why it works: a new connection cannot have gone silent before, so that a call meets one dead connection at most, the leader's.

--- a/internal/locator/call.go
+++ b/internal/locator/call.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"google.golang.org/grpc"
-
 	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/messenger"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
@@ -120,19 +118,20 @@
 	defer cancel()
 	var zero Resp
 	address := l.target()
-	conn, err := l.conn(address)
+	c, err := l.acquire(address)
 	if err != nil {
-		l.recordFailure(address, false)
+		l.recordFailure(address, nil, false)
 		return zero, &messenger.UnsentError{Cause: err}
 	}
+	defer l.release(c)
 	if limits.ProbeLeader && !l.LeaderAnsweredWithin(probeAfter) {
-		if err := l.probe(ctx, address, conn); err != nil {
+		if err := l.probe(ctx, address, c); err != nil {
 			return zero, &messenger.UnsentError{Cause: err}
 		}
 	}
-	resp, err := encoder.Call[Req, Resp](ctx, conn, method, r)
+	resp, err := encoder.Call[Req, Resp](ctx, c.conn, method, r)
 	if err != nil {
-		l.recordFailure(address, errors.Is(ctx.Err(), context.DeadlineExceeded))
+		l.recordFailure(address, c, errors.Is(ctx.Err(), context.DeadlineExceeded))
 		return zero, err
 	}
 	l.recordStatus(address, (*resp).ReplicaStatus())
@@ -143,12 +142,12 @@
 
 // probe asks a replica whether it leads. A call whose outcome must be known is sent only after such an answer.
 // Otherwise a replica that is down or cut off would leave the outcome of every caller's first call unknown.
-func (l *Locator) probe(ctx context.Context, address string, conn *grpc.ClientConn) error {
+func (l *Locator) probe(ctx context.Context, address string, c *connection) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := encoder.Call[statusRequest, StatusResponse](ctx, conn, methodStatus, &statusRequest{})
+	resp, err := encoder.Call[statusRequest, StatusResponse](ctx, c.conn, methodStatus, &statusRequest{})
 	if err != nil {
-		l.recordFailure(address, errors.Is(ctx.Err(), context.DeadlineExceeded))
+		l.recordFailure(address, c, errors.Is(ctx.Err(), context.DeadlineExceeded))
 		return err
 	}
 	l.recordStatus(address, resp.ReplicaStatus())
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -7,10 +7,7 @@
 	"strings"
 	"sync"
 
-	"google.golang.org/grpc"
-
 	"github.com/lagoonmill/lagoonmill/internal/logger"
-	"github.com/lagoonmill/lagoonmill/internal/messenger"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 )
 
@@ -44,7 +41,7 @@
 	mu             sync.Mutex
 	seeds          []string // addresses from the settings
 	members        []string // addresses that replicas reported, the latest first
-	conns          map[string]*grpc.ClientConn
+	conns          map[string]*connection
 	leader         string
 	term           uint64 // of leader
 	revision       uint64 // of the newest membership in members
@@ -57,15 +54,15 @@
 
 // New returns a locator that starts with the given addresses.
 func New(seeds []string, log logger.Logger) *Locator {
-	return &Locator{log: log, seeds: slices.Clone(seeds), conns: map[string]*grpc.ClientConn{}}
+	return &Locator{log: log, seeds: slices.Clone(seeds), conns: map[string]*connection{}}
 }
 
 // Close closes all connections.
 func (l *Locator) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for address, conn := range l.conns {
-		_ = conn.Close()
+	for address, c := range l.conns {
+		_ = c.conn.Close()
 		delete(l.conns, address)
 	}
 }
@@ -105,21 +102,6 @@
 	return l.newestRevision > l.revision
 }
 
-// conn returns the connection to address, which it dials on first use.
-func (l *Locator) conn(address string) (*grpc.ClientConn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if conn := l.conns[address]; conn != nil {
-		return conn, nil
-	}
-	conn, err := messenger.Dial(address)
-	if err != nil {
-		return nil, err
-	}
-	l.conns[address] = conn
-	return conn, nil
-}
-
 // target returns the address to call: the last known leader, else each known address in turn.
 func (l *Locator) target() string {
 	l.mu.Lock()
@@ -139,17 +121,16 @@
 }
 
 // recordFailure notes that a call to address failed, so that it no longer counts as the leader. If the call timed out,
-// it closes the connection, which may never work again.
-func (l *Locator) recordFailure(address string, timedOut bool) {
+// it closes the connection that the call used, which may never work again.
+func (l *Locator) recordFailure(address string, used *connection, timedOut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leader == address {
 		l.leader = ""
 	}
 	l.markLost()
-	if conn := l.conns[address]; conn != nil && timedOut {
-		_ = conn.Close()
-		delete(l.conns, address)
+	if timedOut && l.conns[address] != nil {
+		l.drop(address)
 	}
 }
 
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -190,7 +190,7 @@
 	defer l.Close()
 	l.recordStatus("127.0.0.1:1", ReplicaStatus{Term: 1})
 	const span = 600 * timekeeper.Millis(1)
-	l.recordFailure("127.0.0.1:1", false)
+	l.recordFailure("127.0.0.1:1", nil, false)
 	lostSince := l.lostSince
 	if l.searchTimedOut(lostSince, span) {
 		t.Error("the search ends as soon as it starts")
