Close the connection that timed out, not the one that replaced it

What callers see: a call on a connection that works is broken off, and its outcome is not known, since an earlier call on the connection before it has timed out.

Cause: a timeout closed whatever connection the address had by then.

Change: a call closes the connection that it used, if that is still there.

Failed before: TestTimeoutDoesNotCloseANewerConnection.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -129,7 +129,7 @@
 		l.leader = ""
 	}
 	l.markLost()
-	if timedOut && l.conns[address] != nil {
+	if timedOut && used != nil && l.conns[address] == used {
 		l.drop(address)
 	}
 }
--- a/internal/locator/silence_test.go
+++ b/internal/locator/silence_test.go
@@ -116,3 +116,25 @@
 		t.Errorf("the call took %v, want less than the timeout of one attempt, %v", took, AttemptTimeout)
 	}
 }
+
+// TestTimeoutDoesNotCloseANewerConnection guards against calls on a connection that works and that fail since an earlier
+// call, on the connection before it, has timed out.
+func TestTimeoutDoesNotCloseANewerConnection(t *testing.T) {
+	s := serveSilencer(t, func() response { return response{} })
+	address := s.Addr().String()
+	l := New([]string{address}, logger.Logger{})
+	defer l.Close()
+	before, err := l.acquire(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.recordFailure(address, before, true)
+	newer, err := l.acquire(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.recordFailure(address, before, true)
+	if again, err := l.acquire(address); err != nil || again != newer {
+		t.Errorf("the newer connection was replaced, error %v", err)
+	}
+}
