Take a deregistered runner for ended once nothing listens at its address

Cause: "deregistered, draining, and a failed poll" counted as the runner's end. A poll also fails because its time passes while the agent stands still, and a runner whose deregistration isn't acknowledged in time goes on for seconds.

Change: only a poll that was sent after the deregistration and finds nothing listening shows the end. Else the lease bounds it, as for any silent runner.

Why it works: a process that has work has its port open; one that refuses connections has ended, and its work with it.

Failed before: TestDeregisteredRunnerCountsAsEndedOnceNothingListens, three of four cases.

--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -103,7 +103,7 @@
 	case r.err != nil && r.interrupt:
 		return
 	case r.err != nil:
-		s.handlePollFailure(r.err)
+		s.handlePollFailure(r.serial, r.err)
 		return
 	case r.verdict == VerdictFenced:
 		s.detach("the runner has seen a higher fencing token")
@@ -113,7 +113,7 @@
 		s.detach("the runner is another incarnation")
 		return
 	case r.verdict != VerdictDone:
-		s.handlePollFailure(nil)
+		s.handlePollFailure(r.serial, nil)
 		return
 	case s.answeredPoll > 0 && r.listing.Clock < s.clock.value:
 		s.detach("the runner's clock went back") // a lease must not be computed from either reading
@@ -134,8 +134,11 @@
 	s.reconcile()
 }
 
-func (s *session) handlePollFailure(err error) {
+func (s *session) handlePollFailure(serial int, err error) {
 	s.failedPolls++
+	if errors.Is(err, ErrNotListening) {
+		s.refusedPoll = serial
+	}
 	if s.failedPolls == unresponsiveAfter {
 		s.agent.log.Log(logger.RunnerCallFailed, logger.F("call", "hold"), logger.F("runner", s.incarnation.ID), logger.F("error", err))
 	}
--- a/internal/executor/runner.go
+++ b/internal/executor/runner.go
@@ -97,6 +97,10 @@
 	Wait         timekeeper.Millis // how long the runner may delay its response until a run ends
 }
 
+// ErrNotListening is the error of a request that the runner's machine refused, since nothing listens at the address: the
+// runner's process has ended.
+var ErrNotListening = errors.New("nothing listens at the runner's address")
+
 // Runner sends requests to one incarnation of a runner, and to none that starts later under the same id. An error means
 // that no response arrived: the runner may still carry out the request, at once or seconds later.
 type Runner interface {
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -46,6 +46,7 @@
 	answeredPoll      int                // number of the last poll that succeeded; zero if none
 	sentPolls         int                // number of polls sent
 	failedPolls       int                // consecutive failed polls
+	refusedPoll       int                // number of the last poll that found nothing listening; zero if none
 	committedEnd      int                // number of the last end that is committed to the log
 	reportedEnd       int                // number of the last end that was reported
 	credibleEnd       int                // number of the last listed end that may be reported
@@ -58,6 +59,7 @@
 	reportResults                chan reportResult
 	callResults                  chan callResult
 	deregistered                 bool // the runner was deregistered when it was last looked at
+	pollsBeforeLeave             int  // number of polls sent when the runner's deregistration was first seen
 	closed                       bool
 }
 
@@ -171,16 +173,23 @@
 	return a.Incarnation == s.incarnation && (a.Draining || a.Deregistered)
 }
 
-// handleChange closes the session when the runner has restarted, has deregistered and no longer responds, or is in use
-// again although it was deregistered.
+// handleChange closes the session when the runner has restarted, has deregistered and ended, or is in use again although it
+// was deregistered.
+//
+// A deregistration does not show that the runner has ended: without an acknowledgement in time it goes on for some
+// seconds. Neither does a poll without an answer, whose time may have passed while this process stood still. Only a later
+// poll that finds nothing listening shows it. Without one the leader detaches the worker when its lease has expired.
 func (s *session) handleChange(ctx context.Context) {
 	a, _ := s.agent.lastAnnouncement()
 	if a.Incarnation != s.incarnation || s.deregistered && !a.Deregistered {
 		s.closed = true
 		return
 	}
+	if a.Deregistered && !s.deregistered {
+		s.pollsBeforeLeave = s.sentPolls
+	}
 	s.deregistered = a.Deregistered
-	if a.Deregistered && a.Draining && s.failedPolls > 0 { // a failed poll alone does not show that the runner has ended
+	if a.Deregistered && a.Draining && s.refusedPoll > s.pollsBeforeLeave {
 		s.deregister(ctx)
 	}
 }
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -312,3 +314,42 @@
 		t.Errorf("acknowledged %d, want 40", request.Acknowledged)
 	}
 }
+
+// TestDeregisteredRunnerCountsAsEndedOnceNothingListens guards against an agent that takes a runner for ended which goes on
+// under its lease, since its deregistration was not acknowledged in time and the poll in flight has failed, as both do
+// when the agent stands still. Its work would start a second time elsewhere.
+func TestDeregisteredRunnerCountsAsEndedOnceNothingListens(t *testing.T) {
+	late, refused := errors.New("no response"), fmt.Errorf("poll: %w", ErrNotListening)
+	tests := []struct {
+		name   string
+		polls  []error // of those after the deregistration
+		before error   // of the poll that was in flight then
+		ended  bool
+	}{
+		{"the poll in flight has no answer", nil, late, false},
+		{"the poll in flight was refused before", nil, refused, false},
+		{"later polls have no answer", []error{late, late}, late, false},
+		{"a later poll is refused", []error{late, refused}, late, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			s := newTestSession(t, &fakeRunner{}, Listing{})
+			s.nextPoll()
+			s.agent.HandleAnnouncement(Announcement{Incarnation: s.incarnation, Sequence: 1, Draining: true})
+			s.handleChange(ctx)
+			s.agent.Deregister(s.incarnation)
+			s.handlePollResult(pollResult{serial: s.sentPolls, err: test.before})
+			s.handleChange(ctx)
+			for _, err := range test.polls {
+				_, serial := s.nextPoll()
+				s.handlePollResult(pollResult{serial: serial, err: err})
+				s.handleChange(ctx)
+			}
+			if diff := cmp.Diff(test.ended, s.closed); diff != "" {
+				t.Errorf("the runner counts as ended (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
