Count a job as pending until something of it has started

Cause: an assignment counted as a start, and a run that was given back left its job as running.

Change: the leader counts a job until a runner lists a run of it or confirms a start, or the end of a run shows that one has started.

Failed before: TestAssignedJobIsPendingUntilItHasStarted (0 in place of 2, 1, 1, 0, 2, 1).

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -46,6 +46,7 @@
 	now := c.clock.Now()
 	c.leases.recordCall(r.Worker, now, r.RunnerUnresponsive)
 	c.observer.recordReports(now, r.Running)
+	c.observer.recordBegun(r)
 	c.recordStarts(r, now)
 	if r.Draining {
 		c.recordDraining(ctx, r, now)
--- a/internal/coordinator/callers.go
+++ b/internal/coordinator/callers.go
@@ -131,7 +131,7 @@
 	}
 	id := modeler.JobID(strings.TrimPrefix(r.Address.Path, q.Prefix))
 	if id == "" {
-		return &CallResponse{Reply: c.reply(), Outcome: OutcomeOK, Count: state.QueuedCount(q.Name), IsCount: true}, nil
+		return &CallResponse{Reply: c.reply(), Outcome: OutcomeOK, Count: c.observer.pending(state, q.Name), IsCount: true}, nil
 	}
 	if r.Kind == CallCancel {
 		return c.cancel(ctx, state, id), nil
--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -35,11 +35,13 @@
 	runs    map[tracker.RunKey]*runStats
 	workers map[string]*health
 	leaveAt map[string]timekeeper.Millis // by worker: when it may leave
+	begun   map[modeler.JobID]bool       // the unfinished jobs of which something has started
 }
 
 func newObserver() *observer {
 	return &observer{
 		runs: map[tracker.RunKey]*runStats{}, workers: map[string]*health{}, leaveAt: map[string]timekeeper.Millis{},
+		begun: map[modeler.JobID]bool{},
 	}
 }
 
@@ -62,6 +64,43 @@
 	}
 }
 
+// recordBegun records the jobs of which the worker's runner executes a run or has confirmed a start.
+func (o *observer) recordBegun(r *WatchRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, running := range r.Running {
+		o.begun[running.Run.Task.Job] = true
+	}
+	for _, start := range r.Starts {
+		if start.Confirmed {
+			o.begun[start.Run.Task.Job] = true
+		}
+	}
+}
+
+// pending returns the number of a queue's jobs of which nothing has started. Scheduled jobs do not count. A new leader has
+// observed nothing yet, so that it counts too many until the agents have called.
+func (o *observer) pending(s tracker.State, queue string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, j := range s.UnfinishedJobs() {
+		if j.Queue == queue && j.Repeat == 0 && !o.begun[j.ID] && !j.HasBegun() {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetEnded drops the observations of jobs that have ended. The caller holds mu.
+func (o *observer) forgetEnded(s tracker.State) {
+	for id := range o.begun {
+		if j, ok := s.Job(id); !ok || j.Phase.Ended() {
+			delete(o.begun, id)
+		}
+	}
+}
+
 func (o *observer) statsFor(key tracker.RunKey, now timekeeper.Millis) *runStats {
 	run := o.runs[key]
 	if run == nil {
@@ -123,6 +162,7 @@
 		}
 	}
 	o.runs = kept
+	o.forgetEnded(s)
 	for _, p := range projections {
 		if p.slow(projections) {
 			entry := progress[p.run]
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/lagoonmill/lagoonmill/internal/modeler"
 	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
 	"github.com/lagoonmill/lagoonmill/internal/tracker"
@@ -194,3 +196,28 @@
 		}
 	}
 }
+
+// TestAssignedJobIsPendingUntilItHasStarted guards against a queue whose count lacks a job that was assigned and that no
+// runner has started.
+func TestAssignedJobIsPendingUntilItHasStarted(t *testing.T) {
+	c := newCluster(t, 1)
+	o := newObserver()
+	run := c.runJob("job", 1, 1000)[0]
+	other := c.runJob("other", 1, 1000)[0]
+	pending := func() int { return o.pending(c.state, "batch") }
+	var got []int
+	got = append(got, pending()) // both assigned
+	o.recordBegun(&WatchRequest{Starts: []StartReport{{Run: run, Cause: StartUnavailable}, {Run: other, Confirmed: true}}})
+	got = append(got, pending()) // the start of one refused
+	c.apply(tracker.Command{Report: &tracker.Report{Worker: "w0", Epoch: 1, Ends: []tracker.End{{Run: run, Kind: tracker.EndNeverStarted}}}})
+	o.plannerInput(c.state, 1)
+	got = append(got, pending()) // given back
+	o.recordBegun(&WatchRequest{Running: []RunReport{{Run: run}}})
+	got = append(got, pending())                               // started at last
+	got = append(got, newObserver().pending(c.state, "batch")) // a new leader
+	c.apply(tracker.Command{Report: &tracker.Report{Worker: "w0", Epoch: 1, Ends: []tracker.End{{Number: 1, Run: other, Kind: tracker.EndFailed}}}})
+	got = append(got, newObserver().pending(c.state, "batch")) // a new leader, once a run has failed
+	if diff := cmp.Diff([]int{2, 1, 1, 0, 2, 1}, got); diff != "" {
+		t.Errorf("pending jobs (-want +got):\n%s", diff)
+	}
+}
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -101,6 +101,19 @@
 
 // An instance is one step of one occurrence. The instances of a job are numbered occurrence by occurrence.
 
+// HasBegun reports whether the end of a run shows that something of the job has started. A run that was assigned, and one
+// that was stopped or lost, show nothing.
+func (j Job) HasBegun() bool {
+	for _, tasks := range j.Tasks {
+		for _, t := range tasks {
+			if t.Phase == TaskDone || t.Failures > 0 || t.Checkpoint != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func newJob(j modeler.Job) Job {
 	tasks := make([][]Task, 0, j.Occurrences()*len(j.Steps))
 	for range j.Occurrences() {
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -53,17 +53,6 @@
 	return jobs
 }
 
-// QueuedCount returns the number of a queue's jobs that have not started any run. Scheduled jobs (Repeat > 0) don't count.
-func (s State) QueuedCount(queue string) int {
-	n := 0
-	for _, j := range s.UnfinishedJobs() {
-		if j.Queue == queue && j.Phase == JobQueued && j.Repeat == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // Worker returns the worker with the given name.
 func (s State) Worker(name string) (Worker, bool) { return s.workers.Get(name) }
 
