Drop what earlier segments hold when the next one is read

Cause: a segment that came back was read before the newer one.

Change: each segment starts with a copy of all that is retained, so reading the next one starts over.

Failed before: TestSegmentThatComesBackReplacesNothing (no entries in place of the two acknowledged ones).

--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -370,6 +370,9 @@
 		return j.startFirstSegment()
 	}
 	for i, name := range names {
+		// Each segment starts with a copy of what earlier ones hold. An earlier one that is still there, or has come back
+		// after a loss of power, adds nothing, and may hold entries that a received snapshot has replaced.
+		j.first, j.entries = j.snapshot.Index+1, nil
 		if err := j.loadSegment(name, i == len(names)-1); err != nil {
 			return err
 		}
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -325,6 +325,33 @@
 	}
 }
 
+// TestSegmentThatComesBackReplacesNothing brings back a segment whose entries a received snapshot has replaced, as a loss
+// of power may do whose removal was not durable. It guards against a replica that drops what it has acknowledged since.
+func TestSegmentThatComesBackReplacesNothing(t *testing.T) {
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	if err := j.Append(Batch{State: HardState{Term: 1}, Entries: []Entry{entry(1, 1), entry(2, 1), entry(3, 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	path, old := lastSegment(t, dir)
+	if err := j.SaveSnapshot(Snapshot{Index: 2, Term: 2}); err != nil {
+		t.Fatal(err)
+	}
+	want := []Entry{entry(3, 2), entry(4, 2)}
+	if err := j.Append(Batch{State: HardState{Term: 2}, Entries: want}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, old, fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, mustOpen(t, dir).Entries()); diff != "" {
+		t.Errorf("acknowledged entries (-want +got):\n%s", diff)
+	}
+}
+
 // TestOpenRefusesForeignEntries opens segments whose records are intact but number their entries oddly.
 func TestOpenRefusesForeignEntries(t *testing.T) {
 	for name, b := range map[string]Batch{
