--- a/internal/journaler/journal.go
+++ b/internal/journaler/journal.go
@@ -52,6 +52,7 @@
 // except for PrepareSnapshot.
 type Journal struct {
 	dir      string
+	openFile func(path string) (segment, error)
 	file     segment
 	size     int64 // bytes of the current segment that are known to be durable
 	older    int64 // bytes of the earlier segments that are still there
@@ -75,21 +76,23 @@
 }
 
 // Open opens the journal in dir. It creates the directory and a random identity if they do not exist.
-func Open(dir string) (*Journal, error) { return open(dir, uuid.New()) }
+func Open(dir string) (*Journal, error) { return open(dir, uuid.New(), openFile) }
 
 // OpenNamed is like Open, but a new journal gets the identity that IdentityFromName returns for name.
-func OpenNamed(dir, name string) (*Journal, error) { return open(dir, uuidFromName(name)) }
+func OpenNamed(dir, name string) (*Journal, error) { return open(dir, uuidFromName(name), openFile) }
 
 // IdentityFromName returns the identity of the first replica with the given name. Any process can compute it.
 func IdentityFromName(name string) uint64 { return identityFromUUID(uuidFromName(name)) }
 
 func uuidFromName(name string) uuid.UUID { return uuid.NewSHA1(uuid.NameSpaceURL, []byte(name)) }
 
-func open(dir string, newID uuid.UUID) (*Journal, error) {
+func openFile(path string) (segment, error) { return os.OpenFile(path, os.O_RDWR, fileMode) }
+
+func open(dir string, newID uuid.UUID, openFile func(string) (segment, error)) (*Journal, error) {
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, fmt.Errorf("create data directory: %w", err)
 	}
-	j := &Journal{dir: dir, first: 1}
+	j := &Journal{dir: dir, openFile: openFile, first: 1}
 	if err := removeTemporary(dir); err != nil {
 		return nil, fmt.Errorf("remove temporary files: %w", err)
 	}
@@ -102,9 +105,21 @@
 	if err := j.loadSegments(); err != nil {
 		return nil, fmt.Errorf("load segments: %w", err)
 	}
+	if err := j.syncLoaded(); err != nil {
+		return nil, fmt.Errorf("sync what was loaded: %w", err)
+	}
 	return j, nil
 }
 
+// syncLoaded makes durable what was loaded. A process that was killed may have written a record, or renamed a file, without
+// a sync; the replica acknowledges what it has loaded.
+func (j *Journal) syncLoaded() error {
+	if err := j.file.Sync(); err != nil {
+		return fmt.Errorf("sync segment: %w", err)
+	}
+	return syncDir(j.dir)
+}
+
 // Identity returns the replica's identity, which is permanent for its data directory.
 func (j *Journal) Identity() uint64 { return j.identity }
 
@@ -454,7 +469,7 @@
 }
 
 func (j *Journal) openSegment(name string) error {
-	file, err := os.OpenFile(filepath.Join(j.dir, name), os.O_RDWR, fileMode)
+	file, err := j.openFile(filepath.Join(j.dir, name))
 	if err != nil {
 		return fmt.Errorf("open segment: %w", err)
 	}
--- a/internal/journaler/journal_test.go
+++ b/internal/journaler/journal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/uuid"
 	"pgregory.net/rapid"
 )
 
@@ -352,6 +353,44 @@
 	}
 }
 
+// unsynced is a segment that counts its syncs.
+type unsynced struct {
+	segment
+	syncs *int
+}
+
+// Sync implements segment.
+func (u unsynced) Sync() error {
+	*u.syncs++
+	return u.segment.Sync()
+}
+
+// TestLoadedRecordsAreSynced opens a journal after a kill. It guards against a replica that takes a record for durable
+// which was written and not synced before the kill, so that a loss of power takes back what it has acknowledged.
+func TestLoadedRecordsAreSynced(t *testing.T) {
+	dir := t.TempDir()
+	j := mustOpen(t, dir)
+	record, err := appendRecord(nil, Batch{State: HardState{Term: 1}, Entries: []Entry{entry(1, 1)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := j.file.Write(record); err != nil { // without the sync of an append
+		t.Fatal(err)
+	}
+	syncs := 0
+	reopened, err := open(dir, uuid.New(), func(path string) (segment, error) {
+		file, err := openFile(path)
+		return unsynced{file, &syncs}, err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reopened.Close() }()
+	if len(reopened.Entries()) != 1 || syncs == 0 {
+		t.Errorf("%d entries are loaded after %d syncs, want one entry after a sync", len(reopened.Entries()), syncs)
+	}
+}
+
 // TestOpenRefusesForeignEntries opens segments whose records are intact but number their entries oddly.
 func TestOpenRefusesForeignEntries(t *testing.T) {
 	for name, b := range map[string]Batch{
