--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -36,11 +36,24 @@
 
 // serve is serveReplica for requests of any type.
 func serve[Req any](t *testing.T, handle func(context.Context, *Req) (*response, error), status ...func() ReplicaStatus) string {
+	t.Helper()
+	listener := listen(t)
+	serveOn(t, listener, handle, status...)
+	return listener.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return listener
+}
+
+// serveOn is like serve on a given listener.
+func serveOn[Req any](t *testing.T, listener net.Listener, handle func(context.Context, *Req) (*response, error), status ...func() ReplicaStatus) {
+	t.Helper()
 	server := grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}))
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: "test", HandlerType: (*any)(nil), Methods: []grpc.MethodDesc{encoder.Unary("Ask", handle)},
@@ -50,7 +63,6 @@
 	}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
-	return listener.Addr().String()
 }
 
 func callOnce(t *testing.T, l *Locator) (response, error) {
--- a/internal/locator/silence_test.go
+++ b/internal/locator/silence_test.go
@@ -8,9 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/grpc"
-
-	"github.com/lagoonmill/lagoonmill/internal/encoder"
 	"github.com/lagoonmill/lagoonmill/internal/logger"
 )
 
@@ -60,24 +57,14 @@
 	s.conns = nil
 }
 
-// serveSilencer serves replicas that answer with the given response.
+// serveSilencer serves a replica that answers with the given response.
 func serveSilencer(t *testing.T, answer func() response) *silencer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &silencer{Listener: listener}
-	server := grpc.NewServer(grpc.ForceServerCodec(encoder.Codec{}))
-	handle := func(context.Context, *request) (*response, error) {
+	s := &silencer{Listener: listen(t)}
+	serveOn(t, s, func(context.Context, *request) (*response, error) {
 		r := answer()
 		return &r, nil
-	}
-	server.RegisterService(&grpc.ServiceDesc{
-		ServiceName: "test", HandlerType: (*any)(nil), Methods: []grpc.MethodDesc{encoder.Unary("Ask", handle)},
-	}, nil)
-	go func() { _ = server.Serve(s) }()
-	t.Cleanup(server.Stop)
+	})
 	return s
 }
 
--- a/internal/replicator/node.go
+++ b/internal/replicator/node.go
@@ -419,26 +419,6 @@
 	return nil
 }
 
-// reportCampaign logs a campaign without a majority.
-func (n *Node) reportCampaign() {
-	failed := n.core.TakeFailedCampaign()
-	if failed == nil {
-		return
-	}
-	n.campaigns.Log(n.log, logger.ElectionLost, logger.F("role", failed.Role.String()), logger.F("term", failed.Term),
-		logger.F("granted", n.addresses(failed.Granted)), logger.F("refused", n.addresses(failed.Refused)),
-		logger.F("unanswered", n.addresses(failed.Unanswered)))
-}
-
-func (n *Node) addresses(ids []ReplicaID) []string {
-	addresses := []string{}
-	for _, id := range ids {
-		member, _ := n.core.Status().Members.Member(id)
-		addresses = append(addresses, member.Address)
-	}
-	return addresses
-}
-
 func (n *Node) attachSnapshots(messages []Message) []Message {
 	for i, m := range messages {
 		if m.Kind == SnapshotRequest && m.Snapshot == nil {
