review: a gang that can never be done keeps an idle service from batch jobs

Case 7 shows that the rule LOST is broken: behind a firm reservation for a scheduled gang that can never be done, a batch job never begins beside 23 of 24 idle accelerators.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -17,6 +17,7 @@
 	"lasting-runner-dies":         {3, playLastingRunnerDies},
 	"guarantee-not-regained":      {3, playGuaranteeNotRegained},
 	"guarantee-waits-for-lasting": {3, playGuaranteeWaitsForLasting},
+	"schedule-holds-idle-runners": {3, playScheduleHoldsIdleRunners},
 	"guarantee-one-rack":          {4, playGuaranteeOneRack},
 }
 
@@ -28,7 +29,7 @@
 
 type object map[string]any
 
-// manifest returns a manifest with an urgent queue and a batch queue, and two tenants with the given guarantees.
+// manifest returns a manifest with an urgent queue, one for plans and a batch queue, and two tenants with the given guarantees.
 func manifest(version, firstGuarantee, secondGuarantee int) object {
 	route := func(name, prefix string, priority int) object {
 		return object{"name": name, "host": host, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000,
@@ -36,7 +37,7 @@
 	}
 	return object{
 		"version":  version,
-		"routes":   []object{route("urgent", urgentPrefix, 0), route("batch", batchPrefix, 2)},
+		"routes":   []object{route("urgent", urgentPrefix, 0), route("plan", planPrefix, 1), route("batch", batchPrefix, 2)},
 		"services": []object{{"name": service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "rejectsOverload": false, "standby": false}},
 		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []object{
@@ -292,3 +293,48 @@
 	}
 	return list
 }
+
+// playScheduleHoldsIdleRunners hands in a scheduled gang that needs all accelerators, of which a work unit that lasts holds
+// one. The first time of the schedule lies six minutes back. Then a small batch job is handed in, and the traffic ends.
+func playScheduleHoldsIdleRunners(c *cluster, trouble bool) (string, error) {
+	if err := c.prepareGuarantee(8, 0); err != nil {
+		return "", err
+	}
+	if err := c.submit(urgentPrefix, jobA, firstKey, lastingJob(1, 1)); err != nil {
+		return "", err
+	}
+	if !await(2*settle, func() bool { return c.runningOf(jobA) == 1 }) {
+		return "", fmt.Errorf("the work unit that lasts does not run")
+	}
+	time.Sleep(settle)
+	if trouble {
+		gang := timedJob(3, 8, 10*time.Minute)
+		gang["phases"].([]object)[0]["gang"] = true
+		gang["repeatCount"], gang["startAtMs"], gang["periodMs"] = 3, time.Now().Add(-6*time.Minute).UnixMilli(), time.Hour.Milliseconds()
+		if err := c.submit(planPrefix, jobB, secondKey, gang); err != nil {
+			return "", err
+		}
+		time.Sleep(time.Second)
+	}
+	if err := c.submit(batchPrefix, jobC, secondKey, timedJob(1, 1, 2*time.Second)); err != nil {
+		return "", err
+	}
+	accepted := time.Now()
+	begun := func() bool { return len(c.begunTasks(jobC)) > 0 }
+	const free = 3*acceleratorsOfOne - 1
+	inTime := await(finishTime+lastingSpan, begun)
+	if !inTime {
+		await(longReclaim, begun)
+	}
+	status, state := c.callFront(0, "GET", batchPrefix+jobC, secondKey, nil)
+	c.record.add("check   the batch job has begun: %v, %.1f s after its acknowledgement, GET: %d %s", begun(), time.Since(accepted).Seconds(),
+		status, strings.TrimSpace(state))
+	if inTime {
+		return "", nil
+	}
+	return fmt.Sprintf("LOST: a job has nothing running for %.0f s from %.0f s after the end of the traffic, with %d of %d accelerators free; it has begun %.1f s after its acknowledgement: %v",
+		lastingSpan.Seconds(), finishTime.Seconds(), free, free+1, time.Since(accepted).Seconds(), begun()), nil
+}
+
+// finishTime is finish_s.
+const finishTime = 14 * time.Second
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -24,6 +24,7 @@
 	service      = "planner"
 	host         = "jobs.example"
 	urgentPrefix = "/urgent/"
+	planPrefix   = "/plan/"
 	batchPrefix  = "/batch/"
 )
 
