--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -294,6 +294,10 @@
 	return list
 }
 
+// ordinaryPlans is how many scheduled jobs of the gang's queue are handed in before it, so that one in twenty can never be
+// done. They are due an hour later.
+const ordinaryPlans = 19
+
 // playScheduleHoldsIdleRunners hands in a scheduled gang that needs all accelerators, of which a work unit that lasts holds
 // one. The first time of the schedule lies six minutes back. Then a small batch job is handed in, and the traffic ends.
 func playScheduleHoldsIdleRunners(c *cluster, trouble bool) (string, error) {
@@ -306,6 +310,13 @@
 	if !await(2*settle, func() bool { return c.runningOf(jobA) == 1 }) {
 		return "", fmt.Errorf("the work unit that lasts does not run")
 	}
+	for i := range ordinaryPlans {
+		job := timedJob(1, 1, time.Second)
+		job["repeatCount"], job["startAtMs"], job["periodMs"] = 1, time.Now().Add(time.Hour).UnixMilli(), time.Hour.Milliseconds()
+		if err := c.submit(planPrefix, fmt.Sprintf("%016x", 0xc0+i), secondKey, job); err != nil {
+			return "", err
+		}
+	}
 	time.Sleep(settle)
 	if trouble {
 		gang := timedJob(3, 8, 10*time.Minute)
