review: one malformed id of a job takes the runners out of service

Case 12 shows that a submission whose id holds a dot is accepted, and that its work unit makes the lists of each runner that it is started on unreadable, one runner after the other. Jobs of other callers stand still beside idle runners.

The stand-ins of cases 13 and 14 come with it.

--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -48,6 +48,7 @@
 	sides    []*side
 	world    *world
 	version  int
+	spares   int // the last runners, which do not start with the others
 	commands []*exec.Cmd
 	client   *http.Client
 }
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{record: r, dir: dir, client: &http.Client{Timeout: 4 * time.Second}, world: &world{record: r}}
+	c := &cluster{record: r, dir: dir, client: &http.Client{Timeout: 4 * time.Second}, world: &world{record: r, specs: map[string]string{}}}
 	if err := c.findNet(); err != nil {
 		return nil, err
 	}
@@ -195,7 +196,7 @@
 		}
 	}
 	go c.world.play(ctx)
-	for i, r := range c.world.runners {
+	for i, r := range c.world.runners[:len(c.world.runners)-c.spares] {
 		if err := r.boot(fmt.Sprintf("i-%08x", 0x3df70000+i)); err != nil {
 			return err
 		}
--- a/review/standin-3/gangend.go
+++ b/review/standin-3/gangend.go
@@ -7,7 +7,7 @@
 )
 
 // runnersOf holds the number of runners of each case.
-var runnersOf = map[string]int{"gang-end": 6}
+var runnersOf = map[string]int{"gang-end": 6, "odd-id": 4, "odd-spec": 4, "spot": 11}
 
 const (
 	firstJob  = "5c0e7a21d94b36f8"
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -20,6 +20,9 @@
 
 var cases = map[string]func(context.Context, *cluster, bool) (broken bool, err error){
 	"gang-end": gangEnd,
+	"odd-id":   oddID,
+	"odd-spec": oddSpec,
+	"spot":     spot,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -26,8 +26,9 @@
 
 // workload is what the spec of a job tells the stand-in runners about its tasks.
 type workload struct {
-	WorkMs int64 `json:"workMs"`         // how long each task works
-	Gang   int   `json:"gang,omitempty"` // number of members that work only together
+	WorkMs int64 `json:"workMs"`          // how long each task works
+	Gang   int   `json:"gang,omitempty"`  // number of members that work only together
+	Lasts  bool  `json:"lasts,omitempty"` // the task works until it is stopped, from workMs after its start
 }
 
 // run is one run of a task on a runner.
@@ -53,6 +54,7 @@
 	mu      sync.Mutex
 	record  *record
 	runners []*runner
+	specs   map[string]string // of the last start of each job, as the runner was told
 }
 
 // runner is a stand-in for one of the platform's runners.
@@ -71,6 +73,7 @@
 	cancel   context.CancelFunc
 	cut      bool // no packet passes between the runner and any machine
 	draining bool
+	leavesAt time.Time // while it drains
 	sequence int
 
 	token    uint64
@@ -128,6 +131,16 @@
 	_ = server.Close()
 }
 
+// drain announces that the runner drains and will be gone after a time.
+func (r *runner) drain(left time.Duration) {
+	r.world.mu.Lock()
+	r.draining, r.leavesAt = true, time.Now().Add(left)
+	r.world.record.line("runner %s: drains, %v left", r.name, left)
+	ctx, id := r.ctx, r.id
+	r.world.mu.Unlock()
+	r.heartbeat(ctx, &http.Client{Timeout: time.Second}, id)
+}
+
 // setCut cuts the runner off from all machines, or joins it again. It runs on meanwhile.
 func (r *runner) setCut(cut bool) {
 	r.world.mu.Lock()
@@ -174,11 +187,15 @@
 	if r.draining {
 		state = "draining"
 	}
-	body, _ := json.Marshal(map[string]any{
+	document := map[string]any{
 		"service": serviceName, "addr": r.machine.app, "zone": r.machine.zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
 		"capacity": r.capacity, "labels": r.labels, "clockMs": r.clock().Milliseconds(), "seq": r.sequence, "born": r.born.UnixMilli(),
-	})
+	}
+	if r.draining {
+		document["remainingMs"] = max(time.Until(r.leavesAt).Milliseconds(), 0)
+	}
 	r.world.mu.Unlock()
+	body, _ := json.Marshal(document)
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.machine.control+"/v1/Instances.Heartbeat/"+id, bytes.NewReader(body))
 	if err != nil {
 		return
@@ -257,9 +274,11 @@
 	if x := r.running[o.Task]; r.last[o.Task] >= o.Attempt || x != nil && x.attempt > o.Attempt {
 		return http.StatusConflict, "old"
 	}
+	job, _, _ := strings.Cut(o.Task, ".")
+	r.world.specs[job] = o.Spec
 	var w workload
 	if json.Unmarshal([]byte(o.Spec), &w) != nil {
-		return http.StatusBadRequest, ""
+		w = workload{WorkMs: 500}
 	}
 	r.running[o.Task] = &run{task: o.Task, attempt: o.Attempt, work: w, started: time.Now()}
 	return http.StatusOK, ""
@@ -412,7 +431,7 @@
 		r.finish(x, "alone")
 		return
 	}
-	if x.workSince.IsZero() || now.Sub(x.workSince).Milliseconds() < x.work.WorkMs {
+	if x.work.Lasts || x.workSince.IsZero() || now.Sub(x.workSince).Milliseconds() < x.work.WorkMs {
 		return
 	}
 	for o, other := range w.members(x) {
