Name the runs that hold room after their task or job needs them no more

Nothing told an on-call engineer that a worker's room is held by a run of a job that has ended: the job that waits for it logs `no-room`, the ended job has its last 2021, and the worker counts as attached and idle.

The leader now counts such runs by cause (runs_not_ended) and names each with event 2042 after 3 s: two watches, in which the agent hears of the stop, and the time that a stop takes.

isAssigned becomes tracker's IsCurrent, since it tells what the task says and not what the worker holds. No behaviour changes.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -118,7 +118,7 @@
 	old, _ := before.Worker(r.Worker)
 	response.Version = old.ModifiedIndex
 	for _, run := range w.Runs {
-		if !isAssigned(before, w.Name, run.Key) || !c.starts.send(run.Key) {
+		if !before.IsCurrent(w.Name, run.Key) || !c.starts.send(run.Key, w.Name, w.Epoch, c.clock.Now()) {
 			continue
 		}
 		assignment := Assignment{Run: run.Key, Stop: run.Stopping, Epoch: run.Epoch}
--- a/internal/coordinator/late.go
+++ b/internal/coordinator/late.go
@@ -15,6 +15,9 @@
 	lateStart = WatchTimeout + 500
 	// startScanInterval is the pause between two comparisons of the assigned runs with the state.
 	startScanInterval timekeeper.Millis = 250
+	// lateEnd is how long the end of a run may be awaited until it counts as late: two watches, in which the agent hears that
+	// the run is to stop and its runner is polled, and the time that a stop takes.
+	lateEnd = 2*WatchTimeout + 1000
 	// lateLogInterval is the pause between two lines about a late run.
 	lateLogInterval timekeeper.Millis = 5000
 	// maxLateLines bounds the lines of one scan.
@@ -83,17 +86,18 @@
 	return begun
 }
 
-// lateRun is a run that is late to begin.
+// lateRun is a run that is late to begin, or late to end.
 type lateRun struct {
 	run    tracker.RunKey
 	worker string
 	since  timekeeper.Millis
 	cause  StartCause
+	ending bool // the run is to end: its task or its job needs it no more
 	entry  *assignedRun
 }
 
-// lateRuns compares the assigned runs with the state and returns those that are late to begin, the longest first, or
-// false if the last scan is too recent.
+// lateRuns compares the runs that workers hold with the state and returns those that are late to begin or to end, the
+// longest first, or false if the last scan is too recent.
 func (s *starts) lateRuns(state tracker.State, now timekeeper.Millis) ([]lateRun, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,14 +114,10 @@
 				entry = &assignedRun{worker: w.Name, assignedAt: now}
 			}
 			current[r.Key] = entry
-			if entry.begun || r.Stopping || now-entry.assignedAt < lateStart {
-				continue
+			entry.recordEnding(r.Stopping || !state.IsCurrent(w.Name, r.Key), now)
+			if l, ok := s.lateRun(w, r.Key, entry, now); ok {
+				late = append(late, l)
 			}
-			l := lateRun{r.Key, w.Name, now - entry.assignedAt, entry.cause, entry}
-			if _, unsent := s.unsent[r.Key]; unsent {
-				l.cause = StartNotSent
-			}
-			late = append(late, l)
 		}
 	}
 	s.runs = current
@@ -127,6 +127,33 @@
 	return late, true
 }
 
+// recordEnding records whether the run is to end. A line about its late end does not wait for one about its late start.
+func (r *assignedRun) recordEnding(ending bool, now timekeeper.Millis) {
+	switch {
+	case !ending:
+		r.endingSince = 0
+	case r.endingSince == 0:
+		r.endingSince, r.loggedAt = now, 0
+	}
+}
+
+// lateRun returns a run of a worker if it is late to begin or to end. The caller holds mu.
+func (s *starts) lateRun(w tracker.Worker, key tracker.RunKey, entry *assignedRun, now timekeeper.Millis) (lateRun, bool) {
+	l := lateRun{run: key, worker: w.Name, ending: entry.endingSince != 0, entry: entry}
+	if l.ending {
+		l.since = now - entry.endingSince
+		if entry.sentEpoch != w.Epoch {
+			l.cause = StartNotSent
+		}
+		return l, l.since >= lateEnd
+	}
+	l.since, l.cause = now-entry.assignedAt, entry.cause
+	if _, unsent := s.unsent[key]; unsent {
+		l.cause = StartNotSent
+	}
+	return l, !entry.begun && l.since >= lateStart
+}
+
 // dueLines returns the late runs of which a line is due, at most maxLateLines.
 func (s *starts) dueLines(late []lateRun, now timekeeper.Millis) []lateRun {
 	s.mu.Lock()
@@ -141,32 +168,59 @@
 	return due
 }
 
-// publishLateRuns logs and counts the runs that are late to begin.
+// publishLateRuns logs and counts the runs that are late to begin or to end.
 func (c *Coordinator) publishLateRuns(state tracker.State, now timekeeper.Millis) {
 	late, ok := c.starts.lateRuns(state, now)
 	if !ok {
 		return
 	}
-	var counts [startCauses]int
+	var notBegun, notEnded [startCauses]int
 	for i, l := range late {
-		silence, runnerDown := c.leases.lastContact(l.worker, now)
-		switch {
-		case l.cause == StartNotSent:
-		case runnerDown:
-			late[i].cause = StartRunnerSilent
-		case silence > agentTimeout:
-			late[i].cause = StartAgentSilent
+		late[i].cause = c.lateCause(l, now)
+		if l.ending {
+			notEnded[late[i].cause]++
+		} else {
+			notBegun[late[i].cause]++
 		}
-		counts[late[i].cause]++
 	}
-	for cause, n := range counts {
-		c.meter.GaugeOf("runs_not_begun", StartCause(cause).String(), float64(n))
+	for cause := range startCauses {
+		c.meter.GaugeOf("runs_not_begun", StartCause(cause).String(), float64(notBegun[cause]))
+		c.meter.GaugeOf("runs_not_ended", StartCause(cause).String(), float64(notEnded[cause]))
 	}
 	for _, l := range c.starts.dueLines(late, now) {
-		silence, _ := c.leases.lastContact(l.worker, now)
-		c.log.Log(logger.RunNotBegun, logger.F("job", string(l.run.Task.Job)), logger.F("run", l.run.String()), logger.F("worker", l.worker),
-			logger.F("cause", l.cause.String()), logger.F("assigned", l.since), logger.F("silence", silence), logger.F("state", state.Index))
+		c.logLateRun(l, state, now)
+	}
+}
+
+// lateCause returns why a run is late. An agent that was told of the run, and whose silence or whose runner's silence
+// explains it, comes before what that agent said last.
+func (c *Coordinator) lateCause(l lateRun, now timekeeper.Millis) StartCause {
+	silence, runnerDown := c.leases.lastContact(l.worker, now)
+	switch {
+	case l.cause == StartNotSent:
+	case runnerDown:
+		return StartRunnerSilent
+	case silence > agentTimeout:
+		return StartAgentSilent
+	}
+	return l.cause
+}
+
+func (c *Coordinator) logLateRun(l lateRun, state tracker.State, now timekeeper.Millis) {
+	silence, _ := c.leases.lastContact(l.worker, now)
+	fields := []logger.Field{
+		logger.F("job", string(l.run.Task.Job)), logger.F("run", l.run.String()), logger.F("worker", l.worker),
+		logger.F("cause", l.cause.String()), logger.F("silence", silence), logger.F("state", state.Index),
+	}
+	if !l.ending {
+		c.log.Log(logger.RunNotBegun, append(fields, logger.F("assigned", l.since))...)
+		return
+	}
+	phase := "unknown"
+	if j, ok := state.Job(l.run.Task.Job); ok {
+		phase = j.Phase.String()
 	}
+	c.log.Log(logger.RunNotEnded, append(fields, logger.F("ending", l.since), logger.F("phase", phase))...)
 }
 
 // resetStarts forgets the runs of another term.
@@ -174,6 +228,7 @@
 	c.starts.reset()
 	for cause := range startCauses {
 		c.meter.GaugeOf("runs_not_begun", StartCause(cause).String(), 0)
+		c.meter.GaugeOf("runs_not_ended", StartCause(cause).String(), 0)
 	}
 }
 
--- a/internal/coordinator/starts.go
+++ b/internal/coordinator/starts.go
@@ -23,20 +23,23 @@
 // before a quorum confirmed the leadership, and that are still assigned in one that was read after it.
 type starts struct {
 	mu        sync.Mutex
-	runs      map[tracker.RunKey]*assignedRun // all that are assigned
+	runs      map[tracker.RunKey]*assignedRun // all that workers hold
 	unsent    map[tracker.RunKey]*assignedRun // those that this leader has assigned and sent to no agent
 	withdrawn map[tracker.RunKey]withdrawnRun // those that are never sent any more
 	watches   map[string]*watchRecord         // by worker
 	scannedAt timekeeper.Millis               // when the runs were last compared with the state
 }
 
-// assignedRun is what the leader knows of a run that is assigned.
+// assignedRun is what the leader knows of a run that a worker holds.
 type assignedRun struct {
 	worker     string
 	assignedAt timekeeper.Millis // or when this leader first saw it
 	begun      bool              // the runner executes it
 	cause      StartCause        // why it has not begun, as the agent last said
 	loggedAt   timekeeper.Millis // when a line about it was last written; zero if none was
+	// endingSince is when the run was first seen to be one that is to end; zero if it is not.
+	endingSince timekeeper.Millis
+	sentEpoch   uint64 // the attachment whose agent was last told of the run by this leader; zero if none was
 }
 
 type withdrawnRun struct {
@@ -78,14 +81,19 @@
 	}
 }
 
-// send records that a run is sent to its agent. It returns false for a withdrawn run, which must not be sent.
-func (s *starts) send(run tracker.RunKey) bool {
+// send records that a run is sent to the agent of its worker's attachment with the given epoch. It returns false for a
+// withdrawn run, which must not be sent.
+func (s *starts) send(run tracker.RunKey, worker string, epoch uint64, now timekeeper.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, withdrawn := s.withdrawn[run]; withdrawn {
 		return false
 	}
 	delete(s.unsent, run)
+	if s.runs[run] == nil {
+		s.runs[run] = &assignedRun{worker: worker, assignedAt: now}
+	}
+	s.runs[run].sentEpoch = epoch
 	return true
 }
 
@@ -133,7 +141,7 @@
 	defer s.mu.Unlock()
 	for key, r := range s.unsent {
 		switch {
-		case !isAssigned(state, r.worker, key):
+		case !state.IsCurrent(r.worker, key):
 			delete(s.unsent, key)
 		case s.overdue(r, now):
 			delete(s.unsent, key)
@@ -143,7 +151,7 @@
 	}
 	list := map[string][]tracker.RunKey{}
 	for key, r := range s.withdrawn {
-		if isAssigned(state, r.worker, key) {
+		if state.IsCurrent(r.worker, key) {
 			list[r.worker] = append(list[r.worker], key)
 		} else if now-r.at > withdrawnRetention {
 			delete(s.withdrawn, key)
@@ -163,13 +171,3 @@
 	}
 	return now-since > unsentLimit
 }
-
-// isAssigned reports whether a worker holds a run.
-func isAssigned(state tracker.State, worker string, key tracker.RunKey) bool {
-	j, ok := state.Job(key.Task.Job)
-	if !ok {
-		return false
-	}
-	t, ok := j.Task(key.Task)
-	return ok && t.Phase == tracker.TaskAssigned && t.Attempt == key.Attempt && t.Worker == worker
-}
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -32,7 +32,7 @@
 	}
 	c.step(ctx)
 	key := tracker.RunKey{Task: tracker.TaskKey{Job: "job"}, Attempt: 1}
-	if !isAssigned(c.machine.State(), "w0", key) {
+	if !c.machine.State().IsCurrent("w0", key) {
 		t.Fatal("the run is not assigned to w0")
 	}
 	return c, ctx, key
@@ -56,7 +56,7 @@
 	attachWorker(ctx, t, c, "w1")
 	next := tracker.RunKey{Task: key.Task, Attempt: 2}
 	deadline := time.Now().Add((unsentLimit + 1000).Duration())
-	for !isAssigned(c.machine.State(), "w1", next) {
+	for !c.machine.State().IsCurrent("w1", next) {
 		if time.Now().After(deadline) {
 			t.Fatalf("after %v the run is not assigned elsewhere: %+v", unsentLimit+1000, c.machine.State().UnfinishedJobs()[0].Tasks)
 		}
@@ -153,7 +153,7 @@
 		t.Fatal("the run is not to be withdrawn")
 	}
 	c.withdrawUnsent(ctx)
-	if !isAssigned(c.machine.State(), "w0", key) {
+	if !c.machine.State().IsCurrent("w0", key) {
 		t.Error("the run was withdrawn")
 	}
 }
--- a/internal/tracker/job.go
+++ b/internal/tracker/job.go
@@ -166,6 +166,12 @@
 	return tasks[key.Index], true
 }
 
+// IsCurrent reports whether a run is the one that its task is assigned to on the worker.
+func (j Job) IsCurrent(worker string, run RunKey) bool {
+	t, ok := j.Task(run.Task)
+	return ok && t.Phase == TaskAssigned && t.Attempt == run.Attempt && t.Worker == worker
+}
+
 // WithTask returns a copy of j in which t replaces the task with the given key, which must exist.
 func (j Job) WithTask(key TaskKey, t Task) Job {
 	instance := j.Instance(key)
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -66,6 +66,13 @@
 	return workers
 }
 
+// IsCurrent reports whether a run is the one that its task is assigned to on the worker. A worker may hold runs that are
+// not, which have nothing left to do but end (see Run).
+func (s State) IsCurrent(worker string, run RunKey) bool {
+	j, ok := s.jobs.Get(run.Task.Job)
+	return ok && j.IsCurrent(worker, run)
+}
+
 // RunTimes returns the statistics of observed run times of a queue's tasks.
 func (s State) RunTimes(queue string) estimator.Record {
 	r, _ := s.runTimes.Get(queue)
