Tell each new session of every run that its worker holds

Before it a gang had ended as done while the runner of one member was cut off; that runner started again behind the cut.

Two notions shared one name. A worker holds a run until its end is reported or the worker is detached; a task is assigned to a worker until it is done. The end of one member marks all tasks of a gang as done, so that the other members' runs are held and assigned to nobody. What a new session is told asked for the second notion: it never heard of such a run, reported nothing of it, and kept its lease, so that nothing else ended it. Planned stops, cancels and drains of such a run were withheld in the same way, and its job was never pruned.

Holds and IsCurrent are two questions. Assignments, the choice of what an agent is told, takes the runs that are held, with a stop for each that is no longer current, and the agents' simulation uses it too: it had a copy that told all runs, which is why its random histories could not find this. Who ends such a run now: the session reports the end that the runner lists, or that it is absent once the runner has seen the new fencing token and lists neither; a lost watch or report is repeated; a silent agent is detached by its lease. An invariant says so, and the state machine's and the simulation's random tests check it.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// watchResponse returns the runs of a worker that are assigned in both of two states. The one from before the
-// confirmation holds no run that a later leader has assigned, the one from after it none that an earlier leader has
-// withdrawn. The version is that of the first state, so that the agent asks again at once for what came since.
+// watchResponse returns the runs that a worker holds in both of two states. The one from before the confirmation holds no
+// run that a later leader has assigned, the one from after it none that an earlier leader has withdrawn. The version is
+// that of the first state, so that the agent asks again at once for what came since.
 func (c *Coordinator) watchResponse(r *WatchRequest, before, state tracker.State) *WatchResponse {
 	w, ok := state.Worker(r.Worker)
 	if !ok || w.Detached || w.Epoch != r.Epoch {
@@ -117,18 +117,37 @@
 	}
 	old, _ := before.Worker(r.Worker)
 	response.Version = old.ModifiedIndex
+	response.Assignments = Assignments(w.Name, before, state, func(run tracker.RunKey) bool {
+		return c.starts.send(run, w.Name, w.Epoch, c.clock.Now())
+	})
+	return response
+}
+
+// Assignments returns what a worker's agent is told of the runs that the worker holds in both of two states, if send
+// permits it. They include the runs that are to end, whether or not the agent knew them: only what the agent is told of can
+// it report as ended, and until then it holds its room.
+func Assignments(worker string, before, state tracker.State, send func(tracker.RunKey) bool) []Assignment {
+	var assignments []Assignment
+	w, _ := state.Worker(worker)
 	for _, run := range w.Runs {
-		if !before.IsCurrent(w.Name, run.Key) || !c.starts.send(run.Key, w.Name, w.Epoch, c.clock.Now()) {
+		if !before.Holds(worker, run.Key) || !send(run.Key) {
 			continue
 		}
-		assignment := Assignment{Run: run.Key, Stop: run.Stopping, Epoch: run.Epoch}
-		if j, ok := state.Job(run.Key.Task.Job); ok && !run.Stopping {
-			t, _ := j.Task(run.Key.Task)
-			assignment.Payload, assignment.Checkpoint = j.Payload, t.Checkpoint
-		}
-		response.Assignments = append(response.Assignments, assignment)
+		assignments = append(assignments, newAssignment(worker, run, state))
 	}
-	return response
+	return assignments
+}
+
+// newAssignment returns what the agent is told of a run: to execute it, or to stop it once nothing needs it any more.
+func newAssignment(worker string, run tracker.Run, state tracker.State) Assignment {
+	a := Assignment{Run: run.Key, Epoch: run.Epoch, Stop: run.Stopping || !state.IsCurrent(worker, run.Key)}
+	if a.Stop {
+		return a
+	}
+	j, _ := state.Job(run.Key.Task.Job)
+	t, _ := j.Task(run.Key.Task)
+	a.Payload, a.Checkpoint = j.Payload, t.Checkpoint
+	return a
 }
 
 func (c *Coordinator) report(ctx context.Context, r *ReportRequest) (*ReportResponse, error) {
--- a/internal/coordinator/starts.go
+++ b/internal/coordinator/starts.go
@@ -20,7 +20,7 @@
 //
 // A run that was sent to no agent cannot start. The leader that assigned it may withdraw it without waiting for the
 // worker's lease to end, since it alone can have sent it: a watch is answered only with runs of a state that was read
-// before a quorum confirmed the leadership, and that are still assigned in one that was read after it.
+// before a quorum confirmed the leadership, and that the worker still holds in one that was read after it.
 type starts struct {
 	mu        sync.Mutex
 	runs      map[tracker.RunKey]*assignedRun // all that workers hold
@@ -141,7 +141,7 @@
 	defer s.mu.Unlock()
 	for key, r := range s.unsent {
 		switch {
-		case !state.IsCurrent(r.worker, key):
+		case !state.Holds(r.worker, key):
 			delete(s.unsent, key)
 		case s.overdue(r, now):
 			delete(s.unsent, key)
@@ -151,7 +151,7 @@
 	}
 	list := map[string][]tracker.RunKey{}
 	for key, r := range s.withdrawn {
-		if state.IsCurrent(r.worker, key) {
+		if state.Holds(r.worker, key) {
 			list[r.worker] = append(list[r.worker], key)
 		} else if now-r.at > withdrawnRetention {
 			delete(s.withdrawn, key)
--- a/internal/executor/simulation_test.go
+++ b/internal/executor/simulation_test.go
@@ -198,9 +198,13 @@
 	}
 }
 
-// check fails the test if a run has been in the state for longer than limit without running, or if a gang has had some
-// waiting and some assigned members for that long.
+// check fails the test if a run has been in the state for longer than limit without running, if a gang has had some
+// waiting and some assigned members for that long, or if a session that has received the assignments does not know a run
+// that its worker holds.
 func (sim *simulation) check(limit timekeeper.Millis) {
+	for _, w := range sim.workers {
+		w.checkKnownRuns()
+	}
 	strayed, mixed := map[tracker.RunKey]timekeeper.Millis{}, map[string]timekeeper.Millis{}
 	for _, w := range sim.workers {
 		s, _ := sim.state.Worker(w.name)
--- a/internal/executor/simworker_test.go
+++ b/internal/executor/simworker_test.go
@@ -258,7 +258,7 @@
 	w.pending = append(w.pending, pendingResult{answer: answer, handle: func() { s.handleWatchResult(result) }})
 }
 
-// watchResult answers a watch as the leader does.
+// watchResult answers a watch as the leader does, with the leader's own choice of runs.
 func (w *simWorker) watchResult(known uint64, clock clockSample, sent timekeeper.Millis) watchResult {
 	state, _ := w.sim.state.Worker(w.name)
 	if state.Detached || state.Epoch != w.session.epoch {
@@ -266,12 +266,24 @@
 	}
 	w.leaseExpiry = w.sim.now + simLease + simLeaseMargin
 	response := coordinator.WatchResponse{Version: state.ModifiedIndex, CommittedEnd: state.CommittedEnd, Lease: simLease}
+	if state.ModifiedIndex != known {
+		response.Assignments = coordinator.Assignments(w.name, w.sim.state, w.sim.state, func(tracker.RunKey) bool { return true })
+	}
+	return watchResult{response: response, leaseEnd: leaseEnd(clock, sent, simLease)}
+}
+
+// checkKnownRuns fails the test if the session has received the worker's present assignments and lacks a run that the
+// worker holds, since nobody would report its end.
+func (w *simWorker) checkKnownRuns() {
+	state, _ := w.sim.state.Worker(w.name)
+	if w.session == nil || w.session.epoch != state.Epoch || w.session.assignmentVersion != state.ModifiedIndex {
+		return
+	}
 	for _, r := range state.Runs {
-		if state.ModifiedIndex != known {
-			response.Assignments = append(response.Assignments, coordinator.Assignment{Run: r.Key, Stop: r.Stopping, Epoch: r.Epoch})
+		if w.session.runs[r.Key] == nil {
+			w.sim.fatalf("%v: %s holds run %v, which its agent's session does not know", w.sim.now, w.name, r.Key)
 		}
 	}
-	return watchResult{response: response, leaseEnd: leaseEnd(clock, sent, simLease)}
 }
 
 func (w *simWorker) sendReport() {
--- a/internal/tracker/doc.go
+++ b/internal/tracker/doc.go
@@ -4,7 +4,9 @@
 // The following invariants hold after every command:
 //   - A task has at most one run that may still be executing.
 //   - The runs of a worker never need more than the worker's capacity.
-//   - A run is removed from its worker only when its end is reported or the worker is detached.
+//   - A run is removed from its worker only when its end is reported or the worker is detached. Until then the worker holds
+//     it, whatever becomes of its task and its job.
+//   - A run that a worker holds is the current one of its task, or its task is done through another member of its gang.
 //   - A configuration is never replaced by an older one.
 //   - The queue of an unfinished job is known, also after a configuration has removed it.
 //   - A task that is done is never run again.
--- a/internal/tracker/state.go
+++ b/internal/tracker/state.go
@@ -66,6 +66,12 @@
 	return workers
 }
 
+// Holds reports whether a worker holds a run (see Worker.Holds).
+func (s State) Holds(worker string, run RunKey) bool {
+	w, ok := s.workers.Get(worker)
+	return ok && w.Holds(run)
+}
+
 // IsCurrent reports whether a run is the one that its task is assigned to on the worker. A worker may hold runs that are
 // not, which have nothing left to do but end (see Run).
 func (s State) IsCurrent(worker string, run RunKey) bool {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -64,7 +64,7 @@
 			if runs[r.Key.Task] > 1 {
 				h.fatalf("task %v has two runs", r.Key.Task)
 			}
-			h.checkRun(r)
+			h.checkRun(w, r)
 		}
 	}
 	for key := range h.done {
@@ -95,7 +95,12 @@
 	}
 }
 
-func (h *history) checkRun(r Run) {
+func (h *history) checkRun(w Worker, r Run) {
+	j, _ := h.state.Job(r.Key.Task.Job)
+	t, known := j.Task(r.Key.Task)
+	if !known || !j.IsCurrent(w.Name, r.Key) && !(t.Phase == TaskDone && j.Steps[r.Key.Task.Step].Gang) {
+		h.fatalf("worker %s holds run %v, which is neither current nor of a gang that is done", w.Name, r.Key)
+	}
 	if r.Key.Attempt < h.starts[r.Key.Task] {
 		h.fatalf("run %v appeared after attempt %d of its task", r.Key, h.starts[r.Key.Task])
 	}
--- a/internal/tracker/worker.go
+++ b/internal/tracker/worker.go
@@ -35,7 +35,8 @@
 	return label == "" || slices.ContainsFunc(p.Labels, func(l string) bool { return strings.EqualFold(l, label) })
 }
 
-// Run is a run that occupies resources on a worker.
+// Run is a run that occupies resources on a worker. It is the current one of its task, or its task is done through another
+// member of its gang; then it has nothing left to do but end.
 type Run struct {
 	Key      RunKey            `cbor:"1,keyasint"`
 	Need     modeler.Resources `cbor:"2,keyasint"`
@@ -72,6 +73,10 @@
 // Free returns the capacity that no run occupies.
 func (w Worker) Free() modeler.Resources { return w.Profile.Capacity.Minus(w.Used()) }
 
+// Holds reports whether a run occupies the worker: it was assigned there, and neither was its end reported since nor the
+// worker detached.
+func (w Worker) Holds(key RunKey) bool { return w.runIndex(key) >= 0 }
+
 func (w Worker) runIndex(key RunKey) int {
 	return slices.IndexFunc(w.Runs, func(r Run) bool { return r.Key == key })
 }
