Never let an agent take an incomplete list of its runs for complete

What callers may see: a task stands as assigned for as long as its worker's lease is renewed, and nothing starts it or gives it back.

The leader withholds a run from the agent while it withdraws it, but gave the agent the worker's version with the rest. If the leadership is lost before the withdrawal is committed, the next leader withholds nothing, and sees an agent that holds the present version: it never tells the run, the session cannot start it or report it, and no other command need touch the worker.

A watch waits, within its time, until no run is withheld. If one still is, the answer renews the lease and tells nothing, under the version that the agent has. So a version that an agent holds is always one of a complete list, whichever leader gave it.

Seen to fail before: TestRunWithheldByOneLeaderIsToldByTheNext (no assignment, want the run). Race runs of coordinator and executor pass.

--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -38,7 +38,8 @@
 	return &AttachResponse{Reply: c.reply(), Accepted: answer.Code == tracker.Accepted, Epoch: answer.Epoch}, nil
 }
 
-// watch answers once the worker's runs differ from the version that the agent holds, or after WatchTimeout.
+// watch answers once the worker's runs differ from the version that the agent holds and none of them is withheld from it, or
+// after WatchTimeout.
 func (c *Coordinator) watch(ctx context.Context, r *WatchRequest) (*WatchResponse, error) {
 	if c.confirm(ctx) != nil {
 		return &WatchResponse{Reply: c.notLeader()}, nil
@@ -51,18 +52,30 @@
 	if r.Draining {
 		c.recordDraining(ctx, r, now)
 	}
+	wait, cancel := context.WithTimeout(ctx, WatchTimeout.Duration())
+	defer cancel()
 	if r.RunnerUnresponsive {
-		c.waitForChange(ctx, r)
+		c.waitForChange(wait, r, r.KnownVersion)
 		return &WatchResponse{Reply: c.reply(), Version: r.KnownVersion}, nil
 	}
 	c.starts.watchBegins(r.Worker)
 	defer func() { c.starts.watchEnds(r.Worker, c.clock.Now(), ctx.Err() != nil) }()
-	c.waitForChange(ctx, r)
+	c.waitForChange(wait, r, r.KnownVersion)
+	response, withheld := c.answerWatch(ctx, r)
+	if withheld != 0 {
+		c.waitForChange(wait, r, withheld) // until the withdrawal is committed
+		response, _ = c.answerWatch(ctx, r)
+	}
+	return response, nil
+}
+
+// answerWatch returns the worker's runs, and the version at which a run is withheld from the agent, or zero if none is.
+func (c *Coordinator) answerWatch(ctx context.Context, r *WatchRequest) (response *WatchResponse, withheld uint64) {
 	before := c.machine.State()
 	if c.confirm(ctx) != nil {
-		return &WatchResponse{Reply: c.notLeader()}, nil
+		return &WatchResponse{Reply: c.notLeader()}, 0
 	}
-	return c.watchResponse(r, before, c.machine.State()), nil
+	return c.watchResponse(r, before, c.machine.State())
 }
 
 func (c *Coordinator) recordDraining(ctx context.Context, r *WatchRequest, now timekeeper.Millis) {
@@ -79,13 +92,13 @@
 	c.log.Log(logger.WorkerDraining, logger.F("worker", r.Worker), logger.F("epoch", r.Epoch), logger.F("left", r.DrainTimeLeft))
 }
 
-func (c *Coordinator) waitForChange(ctx context.Context, r *WatchRequest) {
-	ctx, cancel := context.WithTimeout(ctx, WatchTimeout.Duration())
-	defer cancel()
+// waitForChange waits until the worker's version is not the known one any more, another process controls the worker, this replica
+// does not lead, or ctx ends.
+func (c *Coordinator) waitForChange(ctx context.Context, r *WatchRequest, known uint64) {
 	for {
 		changed := c.node.Changed()
 		w, ok := c.machine.State().Worker(r.Worker)
-		if !ok || w.Detached || w.Epoch != r.Epoch || w.ModifiedIndex != r.KnownVersion {
+		if !ok || w.Detached || w.Epoch != r.Epoch || w.ModifiedIndex != known {
 			return
 		}
 		if c.node.Status().Role != replicator.Leader {
@@ -102,25 +115,32 @@
 // watchResponse returns the runs that a worker holds in both of two states. The one from before the confirmation holds no
 // run that a later leader has assigned, the one from after it none that an earlier leader has withdrawn. The version is
 // that of the first state, so that the agent asks again at once for what came since.
-func (c *Coordinator) watchResponse(r *WatchRequest, before, state tracker.State) *WatchResponse {
+//
+// While this leader withdraws a run, the agent is told nothing, and watchResponse returns the version that it may not take
+// for known: the next leader, which may not withdraw the run, would never tell it.
+func (c *Coordinator) watchResponse(r *WatchRequest, before, state tracker.State) (response *WatchResponse, withheld uint64) {
 	w, ok := state.Worker(r.Worker)
 	if !ok || w.Detached || w.Epoch != r.Epoch {
-		return &WatchResponse{Reply: c.reply(), Lost: true}
+		return &WatchResponse{Reply: c.reply(), Lost: true}, 0
 	}
 	lease, ok := c.leases.grant(r.Worker, r.Epoch, c.clock.Now())
 	if !ok {
-		return &WatchResponse{Reply: c.reply(), Version: r.KnownVersion} // the worker is being detached
-	}
-	response := &WatchResponse{Reply: c.reply(), Version: w.ModifiedIndex, CommittedEnd: w.CommittedEnd, Lease: lease}
-	if w.ModifiedIndex == r.KnownVersion {
-		return response
-	}
-	old, _ := before.Worker(r.Worker)
-	response.Version = old.ModifiedIndex
-	response.Assignments = Assignments(w.Name, before, state, func(run tracker.RunKey) bool {
-		return c.starts.send(run, w.Name, w.Epoch, c.clock.Now())
-	})
-	return response
+		return &WatchResponse{Reply: c.reply(), Version: r.KnownVersion}, 0 // the worker is being detached
+	}
+	response = &WatchResponse{Reply: c.reply(), Version: r.KnownVersion, CommittedEnd: w.CommittedEnd, Lease: lease}
+	send := func(run tracker.RunKey) bool {
+		if c.starts.send(run, w.Name, w.Epoch, c.clock.Now()) {
+			return true
+		}
+		withheld = w.ModifiedIndex
+		return false
+	}
+	assignments := Assignments(w.Name, before, state, send)
+	if withheld == 0 && w.ModifiedIndex != r.KnownVersion {
+		old, _ := before.Worker(r.Worker)
+		response.Version, response.Assignments = old.ModifiedIndex, assignments
+	}
+	return response, withheld
 }
 
 // Assignments returns what a worker's agent is told of the runs that the worker holds in both of two states, if send
--- a/internal/coordinator/starts_test.go
+++ b/internal/coordinator/starts_test.go
@@ -108,6 +108,26 @@
 	}
 }
 
+// TestRunWithheldByOneLeaderIsToldByTheNext guards against a run that stands for good: the leader withholds it from the agent
+// since it withdraws it, and loses the leadership before the withdrawal is committed. The agent must not take what it was
+// told for all that its worker holds, or the next leader never tells it of the run.
+func TestRunWithheldByOneLeaderIsToldByTheNext(t *testing.T) {
+	c, ctx, key := startWithJob(t)
+	c.starts.withdraw(c.machine.State(), c.clock.Now()+unsentLimit+1)
+	first, err := c.watch(ctx, &WatchRequest{Worker: "w0", Epoch: 1})
+	if err != nil || len(first.Assignments) > 0 {
+		t.Fatalf("error %v, assignments %+v, want none", err, first.Assignments)
+	}
+	c.starts.reset()
+	second, err := c.watch(ctx, &WatchRequest{Worker: "w0", Epoch: 1, KnownVersion: first.Version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]Assignment{{Run: key, Epoch: 1}}, second.Assignments); diff != "" {
+		t.Errorf("assignments (-want +got):\n%s", diff)
+	}
+}
+
 // TestWorkerWhoseAgentBreaksOffGetsNoNewRuns guards against runs that are assigned to a worker whose agent process has
 // just ended. The worker is used again once an agent calls.
 func TestWorkerWhoseAgentBreaksOffGetsNoNewRuns(t *testing.T) {
@@ -138,7 +158,7 @@
 	c := New(Settings{}, node, machine, logger.Logger{}, meter.Meter{})
 	w, _ := machine.State().Worker("w")
 	began := time.Now()
-	c.waitForChange(context.Background(), &WatchRequest{Worker: "w", Epoch: w.Epoch, KnownVersion: w.ModifiedIndex})
+	c.waitForChange(context.Background(), &WatchRequest{Worker: "w", Epoch: w.Epoch}, w.ModifiedIndex)
 	if took := time.Since(began); took > WatchTimeout.Duration()/2 {
 		t.Errorf("the watch ends after %v", took)
 	}
@@ -177,7 +197,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			response := c.watchResponse(&WatchRequest{Worker: "w0", Epoch: w.Epoch}, test.before, test.after)
+			response, _ := c.watchResponse(&WatchRequest{Worker: "w0", Epoch: w.Epoch}, test.before, test.after)
 			if len(response.Assignments) != test.want {
 				t.Errorf("assignments %v, want %d", response.Assignments, test.want)
 			}
