Count the room of a done gang as about to be free, not as taken

What callers see: batch work is stopped for an urgent gang within its guarantee, though the room that the gang needs comes free some milliseconds later.

Seen to fail before: TestNoRunIsStoppedForRoomOfDoneGang, both cases (the plan stops [batch.0.0.0#1], want nothing).

--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -152,7 +152,7 @@
 		for _, r := range w.Runs {
 			run := o.statsFor(r.Key, now)
 			kept[r.Key] = run
-			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping {
+			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping && j.IsCurrent(w.Name, r.Key) {
 				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
 				projections = append(projections, run.project(r.Key, w.Name, expectedDuration(s, j, r.Key)))
 			}
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -110,9 +110,9 @@
 
 func (b *planBuilder) addRun(w *workerState, run tracker.Run) {
 	progress := b.in.Progress[run.Key]
-	c, unfinished := b.jobs[run.Key.Task.Job]
-	if !unfinished {
-		if run.Stopping {
+	c, ranked := b.jobs[run.Key.Task.Job]
+	if !ranked {
+		if run.Stopping || !b.in.State.IsCurrent(w.info.Name, run.Key) {
 			w.futureFree, w.stopping = w.futureFree.Plus(run.Need), true
 		}
 		return
@@ -123,9 +123,11 @@
 	if step.MaxPerWorker > 0 {
 		w.addTask(group)
 	}
-	if run.Stopping || progress.nearlyDone(remaining) {
+	// The run of a gang that is done through another member ends as soon as one that is being stopped, and no plan can stop it.
+	ending := run.Stopping || step.Gang && !c.job.IsCurrent(w.info.Name, run.Key)
+	if ending || progress.nearlyDone(remaining) {
 		w.futureFree = w.futureFree.Plus(run.Need)
-		w.stopping = w.stopping || run.Stopping
+		w.stopping = w.stopping || ending
 		return
 	}
 	placed := &assignedRun{
