Say in one type when the room of a run comes back: at a time, or never by itself

A lasting task reports 100 percent while it is at work. The planner took that for nearly done, so that its room seemed to come back at any moment: each plan anew reserved it and stopped nothing.

A lasting run on a draining worker is therefore stopped, so that it moves within the notice.

--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -58,14 +58,13 @@
 
 // assignedRun is a run that holds resources, with the cost of stopping it.
 type assignedRun struct {
-	run            tracker.Run
-	worker         *workerState
-	rank           int
-	stopLoss       int               // lost work, in thousandths of a core times milliseconds
-	remaining      timekeeper.Millis // estimated time until it ends
-	group          groupKey
-	gang           bool
-	nonPreemptible bool // the step is long-running
+	run      tracker.Run
+	worker   *workerState
+	rank     int
+	stopLoss int // lost work, in thousandths of a core times milliseconds
+	back     roomReturn
+	group    groupKey
+	gang     bool
 }
 
 func newPlanBuilder(in Input) *planBuilder {
@@ -118,21 +117,21 @@
 		return
 	}
 	step := &c.job.Steps[run.Key.Task.Step]
-	remaining := estimateRemaining(step.Estimate, progress)
+	back := newRoomReturn(step, progress)
 	group := groupKey{c.job.ID, c.job.Instance(run.Key.Task)}
 	if step.MaxPerWorker > 0 {
 		w.addTask(group)
 	}
 	// The run of a gang that is done through another member ends as soon as one that is being stopped, and no plan can stop it.
 	ending := run.Stopping || step.Gang && !c.job.IsCurrent(w.info.Name, run.Key)
-	if ending || progress.nearlyDone(remaining) {
+	if ending || progress.Percent > 0 && back.within(stopCost) {
 		w.futureFree = w.futureFree.Plus(run.Need)
 		w.stopping = w.stopping || ending
 		return
 	}
 	placed := &assignedRun{
 		run: run, worker: w, rank: c.rank, stopLoss: stopLoss(run, step.Checkpointing, progress) * c.lossWeight(),
-		remaining: remaining, group: group, gang: step.Gang, nonPreemptible: step.LongRunning,
+		back: back, group: group, gang: step.Gang,
 	}
 	if placed.gang {
 		b.gangs[group] = append(b.gangs[group], placed)
@@ -168,29 +167,6 @@
 	lossGrowthPerAttempt = 1.0
 )
 
-// nearlyDone reports whether a run with the given remaining time is expected to end by itself as soon as a stop would
-// end it.
-func (p Progress) nearlyDone(remaining timekeeper.Millis) bool {
-	return p.Percent > 0 && remaining <= stopCost
-}
-
-// estimateRemaining returns the expected time until a run ends, by its progress if known and else by its estimate.
-func estimateRemaining(estimate timekeeper.Millis, p Progress) timekeeper.Millis {
-	if p.Percent > 0 && p.Elapsed > 0 {
-		return p.Elapsed * timekeeper.Millis(100-p.Percent) / timekeeper.Millis(p.Percent)
-	}
-	return max(estimate-p.Elapsed, 0)
-}
-
-// remainingTime returns the expected time until a run ends, or zero if its job is not a candidate.
-func (b *planBuilder) remainingTime(key tracker.RunKey) timekeeper.Millis {
-	c, ok := b.jobs[key.Task.Job]
-	if !ok {
-		return 0
-	}
-	return estimateRemaining(c.job.Steps[key.Task.Step].Estimate, b.in.Progress[key])
-}
-
 // stop adds a run to the plan's stops, with all runs of its gang.
 func (b *planBuilder) stop(plan *tracker.Assign, key tracker.RunKey) {
 	j, ok := b.in.State.Job(key.Task.Job)
--- a/internal/planner/doc.go
+++ b/internal/planner/doc.go
@@ -12,6 +12,9 @@
 // for resources that are kept as headroom or by such a reservation. Reservations for which runs are being stopped are
 // firm, and those of jobs that have waited for minutes.
 //
+// When the room of a run comes back is told by roomReturn alone: at a time, or never by itself. Nothing else derives it from
+// a percentage or an estimate, and no plan waits for room that never comes back.
+//
 // A reservation lasts for one plan: it keeps free resources, or resources that are being released, from demands that
 // are planned later. It is not the reservation of package scheduler, which is part of that package's state.
 package planner
--- /dev/null
+++ b/internal/planner/lasting_test.go
@@ -0,0 +1,73 @@
+package planner
+
+import (
+	"testing"
+
+	"github.com/lagoonmill/lagoonmill/internal/modeler"
+	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
+	"github.com/lagoonmill/lagoonmill/internal/tracker"
+)
+
+// lasting returns a step of equal tasks that run until their job is cancelled.
+func lasting(count, accelerators int) modeler.Step {
+	step := tasks(count, accelerators, 1000)
+	step.LongRunning = true
+	return step
+}
+
+// reclaimTime is the time in which a job within its guarantee starts: that of two stops and a few plans.
+const reclaimTime = 2*stopTime + 6*tick
+
+// checkStarts fails the test unless the first step of a job has started after span.
+func (sim *simulation) checkStarts(job modeler.JobID, span timekeeper.Millis) {
+	sim.t.Helper()
+	sim.run(sim.now+span, nil)
+	if _, started := sim.firstStepStartedAt[job]; !started {
+		sim.t.Errorf("%s has not started after %v", job, span)
+	}
+}
+
+// assigned returns the number of a job's tasks that are assigned.
+func (sim *simulation) assigned(job modeler.JobID) int {
+	n := 0
+	j, _ := sim.state.Job(job)
+	for _, instance := range j.Tasks {
+		for _, t := range instance {
+			if t.Phase == tracker.TaskAssigned {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestLastingRunAtWorkDoesNotCountAsNearlyDone guards against an urgent job within its guarantee for which nothing is stopped,
+// since a lasting run reports 100 percent and its room seemed to come back at any moment (review/10).
+func TestLastingRunAtWorkDoesNotCountAsNearlyDone(t *testing.T) {
+	sim := newSimulation(t, Plan, 3)
+	sim.submit("lasting", "checks", "other", 9000, lasting(8, 1))
+	sim.run(2500, nil)
+	sim.submit("ordinary", "checks", "other", 60_000, tasks(13, 1, 60_000))
+	sim.run(6000, nil)
+	sim.submit("urgent", "urgent", "guaranteed", 2500, tasks(1, 8, 2500))
+	sim.checkStarts("urgent", reclaimTime)
+	if n := sim.assigned("lasting"); n != 8 {
+		t.Errorf("%d lasting tasks are assigned, want all 8, since ordinary work can be stopped", n)
+	}
+}
+
+// TestGangThatCannotBeDoneHoldsNoRoom guards against a batch job that never begins beside idle workers, behind the firm
+// reservation of a gang that needs the room of a lasting run (review/7).
+func TestGangThatCannotBeDoneHoldsNoRoom(t *testing.T) {
+	sim := newSimulation(t, Plan, 3)
+	sim.now = 2 * maxDeferral
+	sim.submit("lasting", "checks", "other", 9000, lasting(1, 1))
+	sim.run(sim.now+100, nil)
+	sim.apply(tracker.Command{Submit: &modeler.Job{
+		ID: "gang", Queue: "plans", Workspace: "other", Steps: []modeler.Step{gang(3, 8, 2*timekeeper.Minute)}, Submitted: sim.now,
+		Repeat: 3, StartAt: sim.now - maxDeferral - timekeeper.Minute, Period: 10 * timekeeper.Minute,
+	}})
+	sim.run(sim.now+100, nil)
+	sim.submit("batch", "checks", "other", 9000, tasks(1, 1, 9000))
+	sim.checkStarts("batch", 3*timekeeper.Second)
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		for _, r := range w.Runs {
-			if !r.Stopping && b.remainingTime(r.Key) > b.in.DrainTimeLeft[w.Name] {
+			if !r.Stopping && !b.returnOf(r.Key).within(b.in.DrainTimeLeft[w.Name]) {
 				b.stop(plan, r.Key)
 			}
 		}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -158,7 +158,7 @@
 func (s *preemptionSearch) preemptibleRuns(w *workerState) []*assignedRun {
 	var list []*assignedRun
 	for _, v := range w.runs {
-		if v.rank > s.demand.maxProtectedRank() && !v.nonPreemptible && !s.stopped[v.run.Key] {
+		if v.rank > s.demand.maxProtectedRank() && !v.back.never && !s.stopped[v.run.Key] {
 			list = append(list, v)
 		}
 	}
--- a/internal/planner/reserve.go
+++ b/internal/planner/reserve.go
@@ -1,12 +1,6 @@
 package planner
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/lagoonmill/lagoonmill/internal/modeler"
-	"github.com/lagoonmill/lagoonmill/internal/timekeeper"
-)
+import "github.com/lagoonmill/lagoonmill/internal/timekeeper"
 
 // reservedWorkersDivisor bounds the workers that are reserved for waiting batch work to 1/reservedWorkersDivisor of
 // all. Reserved workers are partly idle until their runs end.
@@ -85,43 +79,3 @@
 	}
 	return p, latest
 }
-
-// release is the expected end of a run, with the resources that it releases.
-type release struct {
-	after timekeeper.Millis // from now on
-	freed modeler.Resources
-}
-
-// earliestFit returns the expected time until need fits on the worker if nothing else starts there, and whether it ever
-// does.
-func (w *workerState) earliestFit(need modeler.Resources) (timekeeper.Millis, bool) {
-	free := w.futureFree
-	if need.Fits(free) {
-		return 0, true
-	}
-	if !need.Fits(w.info.Profile.Capacity) {
-		return 0, false
-	}
-	for _, r := range w.expectedReleases() {
-		free = free.Plus(r.freed)
-		if need.Fits(free) {
-			return r.after, true
-		}
-	}
-	return 0, false
-}
-
-// expectedReleases returns the expected ends of the worker's runs, earliest first. Long-running tasks have none.
-func (w *workerState) expectedReleases() []release {
-	if w.releases != nil {
-		return w.releases
-	}
-	w.releases = make([]release, 0, len(w.runs))
-	for _, r := range w.runs {
-		if !r.nonPreemptible {
-			w.releases = append(w.releases, release{r.remaining, r.run.Need})
-		}
-	}
-	slices.SortFunc(w.releases, func(x, y release) int { return cmp.Compare(x.after, y.after) })
-	return w.releases
-}
