Stop lasting batch work for a guarantee, within what its job permits

Runs of lasting steps were exempt from preemption whatever asked for their room, while a guarantee holds at all times. They were exempt because a stop interrupts a service; the platform has a field for how much of that a job permits, which was not read.

Where the two rules pull apart the permitted interruption goes first.

Seen to fail before: TestLastingBatchWorkIsStoppedForGuarantee (urgent has not started after 1100ms) and TestNoMoreLastingTasksAreStoppedThanTheirJobPermits (24 of 24 with 8 that may be away, want 16).

--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -74,6 +74,7 @@
 	MaxPerWorker  int               `cbor:"10,keyasint,omitempty"` // zero for no limit
 	LongRunning   bool              `cbor:"11,keyasint,omitempty"` // runs until the job is cancelled
 	Speculative   bool              `cbor:"12,keyasint,omitempty"` // parallel runs of one task are allowed
+	MaxAway       int               `cbor:"13,keyasint,omitempty"` // tasks of a long-running step that may be away at once by our stops; zero for no limit
 }
 
 // Total returns the resources that all tasks of the step need at the same time.
--- a/internal/planner/lasting_test.go
+++ b/internal/planner/lasting_test.go
@@ -71,3 +71,49 @@
 	sim.submit("batch", "checks", "other", 9000, tasks(1, 1, 9000))
 	sim.checkStarts("batch", 3*timekeeper.Second)
 }
+
+// TestLastingBatchWorkIsStoppedForGuarantee guards against a guarantee that is never regained from lasting batch work
+// (review/8). Its tasks start again elsewhere as far as there is room.
+func TestLastingBatchWorkIsStoppedForGuarantee(t *testing.T) {
+	sim := newSimulation(t, Plan, 3)
+	sim.submit("lasting", "checks", "other", 9000, lasting(24, 1))
+	sim.run(2500, nil)
+	sim.submit("urgent", "urgent", "guaranteed", 2500, tasks(1, 8, 2500))
+	sim.checkStarts("urgent", reclaimTime)
+	if n := sim.assigned("lasting"); n != 16 {
+		t.Errorf("%d lasting tasks are assigned, want the 16 that fit beside the urgent one", n)
+	}
+}
+
+// TestNoMoreLastingTasksAreStoppedThanTheirJobPermits guards against stops that leave more tasks of a lasting step away than
+// its job permits, even for a guarantee.
+func TestNoMoreLastingTasksAreStoppedThanTheirJobPermits(t *testing.T) {
+	for permitted, want := range map[int]int{4: 24, 8: 16} {
+		sim := newSimulation(t, Plan, 3)
+		step := lasting(24, 1)
+		step.MaxAway = permitted
+		sim.submit("lasting", "checks", "other", 9000, step)
+		sim.run(2500, nil)
+		sim.submit("urgent", "urgent", "guaranteed", 2500, tasks(1, 8, 2500))
+		sim.run(sim.now+reclaimTime, nil)
+		if n := sim.assigned("lasting"); n != want {
+			t.Errorf("%d of 24 lasting tasks are assigned with %d that may be away, want %d", n, permitted, want)
+		}
+	}
+}
+
+// TestLastingRunLeavesDrainingWorker guards against a lasting run that stays on a worker until it is gone, and stands still
+// until its lease has ended, since its room seemed to come back before (review/13).
+func TestLastingRunLeavesDrainingWorker(t *testing.T) {
+	sim := newSimulation(t, Plan, 3)
+	sim.submit("lasting", "checks", "other", 9000, lasting(1, 1))
+	sim.run(100, nil)
+	j, _ := sim.state.Job("lasting")
+	w, _ := sim.state.Worker(j.Tasks[0][0].Worker)
+	sim.apply(tracker.Command{Drain: &tracker.Drain{Worker: w.Name, Epoch: w.Epoch}})
+	sim.run(sim.now+stopTime+4*tick, nil)
+	j, _ = sim.state.Job("lasting")
+	if at := j.Tasks[0][0]; at.Phase != tracker.TaskAssigned || at.Worker == w.Name {
+		t.Errorf("the task is %+v, want it on another worker than %s", at, w.Name)
+	}
+}
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -132,6 +132,9 @@
 		return nil, 0, true
 	}
 	for _, v := range s.preemptibleRuns(w) {
+		if v.back.never && !s.mayInterrupt(v, victims) {
+			continue
+		}
 		victims = append(victims, v)
 		available = available.Plus(v.run.Need)
 		if need.Fits(available) {
@@ -158,7 +161,7 @@
 func (s *preemptionSearch) preemptibleRuns(w *workerState) []*assignedRun {
 	var list []*assignedRun
 	for _, v := range w.runs {
-		if v.rank > s.demand.maxProtectedRank() && !v.back.never && !s.stopped[v.run.Key] {
+		if v.rank > s.demand.maxProtectedRank() && !s.stopped[v.run.Key] {
 			list = append(list, v)
 		}
 	}
@@ -166,6 +169,47 @@
 	return list
 }
 
+// mayInterrupt reports whether the demand may stop a lasting run beside the victims found so far. Only a guarantee may, and no
+// more tasks of the step may be away at once than its job permits.
+func (s *preemptionSearch) mayInterrupt(v *assignedRun, victims []*assignedRun) bool {
+	if s.demand.rank != rankGuaranteed {
+		return false
+	}
+	step := s.builder.jobs[v.group.job].job.StepOf(v.group.instance)
+	if step.MaxAway <= 0 {
+		return true
+	}
+	if v.gang {
+		return step.Count <= step.MaxAway
+	}
+	away := s.builder.awayTasks(v.group)
+	for _, other := range victims {
+		if other.group == v.group {
+			away++
+		}
+	}
+	for _, key := range s.victims {
+		if key.Task.Job == v.group.job && s.builder.jobs[key.Task.Job].job.Instance(key.Task) == v.group.instance {
+			away++
+		}
+	}
+	return away < step.MaxAway
+}
+
+// awayTasks returns the number of tasks of a long-running step that are not known to be at work, or are being stopped.
+func (b *planBuilder) awayTasks(group groupKey) int {
+	j := &b.jobs[group.job].job
+	away := 0
+	for index, t := range j.Tasks[group.instance] {
+		run := tracker.RunKey{Task: j.Key(group.instance, index), Attempt: t.Attempt}
+		silent := b.in.Unresponsive[t.Worker]
+		if t.Phase != tracker.TaskAssigned || silent || b.in.Progress[run].Percent < 100 || b.stopped[run] || b.isStopping(t.Worker, run) {
+			away++
+		}
+	}
+	return away
+}
+
 func (s *preemptionSearch) totalLoss(victims []*assignedRun) int {
 	loss := 0
 	for _, v := range victims {
