--- a/internal/planner/lasting_test.go
+++ b/internal/planner/lasting_test.go
@@ -117,3 +117,34 @@
 		t.Errorf("the task is %+v, want it on another worker than %s", at, w.Name)
 	}
 }
+
+// TestLastingTaskBeyondGuaranteeIsStartedAgain guards against a lasting task that fails and never starts again beside idle
+// accelerators, since its urgent job is beyond its guarantee and runs as many tasks as such a job may begin (review/6).
+func TestLastingTaskBeyondGuaranteeIsStartedAgain(t *testing.T) {
+	sim := newSimulation(t, Plan, 4)
+	sim.submit("wide", "urgent", "guaranteed", 9000, lasting(21, 1))
+	failing := tracker.RunKey{Task: tracker.TaskKey{Job: "wide"}, Attempt: 1}
+	sim.failAfter[failing] = 3000
+	sim.run(1000, nil)
+	sim.submit("beyond", "urgent", "guaranteed", 9000, lasting(4, 1))
+	sim.run(2500, nil)
+	if wide, beyond := sim.assigned("wide"), sim.assigned("beyond"); wide != 21 || beyond != 4 {
+		t.Fatalf("%d and %d tasks are assigned, want all 21 and 4", wide, beyond)
+	}
+	sim.run(3000+StandingLimit+6*tick, nil)
+	j, _ := sim.state.Job("wide")
+	if task := j.Tasks[0][0]; task.Phase != tracker.TaskAssigned || task.Attempt != 2 {
+		t.Errorf("the task that failed is %+v, want its second run assigned", task)
+	}
+}
+
+// TestLastingJobBeyondGuaranteeStartsWhole guards against the last tasks of a lasting urgent step that never start beside idle
+// accelerators, since its job is beyond the guarantee from the start.
+func TestLastingJobBeyondGuaranteeStartsWhole(t *testing.T) {
+	sim := newSimulation(t, Plan, 4)
+	sim.submit("wide", "urgent", "other", 9000, lasting(21, 1))
+	sim.run(StandingLimit+6*tick, nil)
+	if n := sim.assigned("wide"); n != 21 {
+		t.Errorf("%d of 21 tasks are assigned, want all", n)
+	}
+}
