Spread a rack gang at once if lasting work keeps every rack from it

A gang keeps to one rack as long as one could hold it when idle. A rack with work that never ends by itself never is.

A rack, and a pool of workers, counts by what the demand may have in time: all but the room of lasting runs that are not stopped for it. Those are all for a demand without a guarantee, and for one within its guarantee those of its own rank or of steps that limit interruptions.

--- a/internal/planner/backfill.go
+++ b/internal/planner/backfill.go
@@ -44,7 +44,7 @@
 }
 
 // backfillDomains returns the domains of each pool that a demand may use for backfill, in order of preference. A
-// gang that requires one rack keeps to it if any rack could hold it.
+// gang that requires one rack keeps to it if any rack could hold it in time.
 func (b *planBuilder) backfillDomains(d demand) [][][]*workerState {
 	pools := b.eligiblePools(d)
 	all := pools[len(pools)-1]
--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -16,12 +16,14 @@
 	freeForBackfill modeler.Resources // free for backfill: less only what is reserved firmly
 	futureFree      modeler.Resources // free plus what stopping and nearly done runs release, less reservations
 	avoided         bool
-	suspect         bool             // avoided for tasks that have failed before
-	stopping        bool             // a run is being stopped
-	taskCounts      map[groupKey]int // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
-	runs            []*assignedRun   // runs on the worker, without stopping and nearly done ones
-	releases        []release        // expected ends of runs, earliest first; nil until computed
-	held            []holding        // free resources that reservations of this plan hold
+	suspect         bool              // avoided for tasks that have failed before
+	stopping        bool              // a run is being stopped
+	taskCounts      map[groupKey]int  // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
+	runs            []*assignedRun    // runs on the worker, without stopping and nearly done ones
+	releases        []release         // expected ends of runs, earliest first; nil until computed
+	lasting         modeler.Resources // held by runs that go on until they are stopped
+	unstoppable     modeler.Resources // the part of lasting that not even a guarantee can have
+	held            []holding         // free resources that reservations of this plan hold
 }
 
 // groupKey identifies the tasks of one step in one occurrence of a job.
@@ -133,6 +135,7 @@
 		run: run, worker: w, rank: c.rank, stopLoss: stopLoss(run, step.Checkpointing, progress) * c.lossWeight(),
 		back: back, group: group, gang: step.Gang,
 	}
+	w.countLasting(placed, step)
 	if placed.gang {
 		b.gangs[group] = append(b.gangs[group], placed)
 	}
--- a/internal/planner/lasting_test.go
+++ b/internal/planner/lasting_test.go
@@ -148,3 +148,20 @@
 		t.Errorf("%d of 21 tasks are assigned, want all", n)
 	}
 }
+
+// TestRackGangWithinGuaranteeIsSpreadWhenNoRackComesFree guards against an urgent gang within its guarantee that waits for one
+// rack for good, beside idle workers in two, since each rack has a lasting run that the gang cannot stop (review/9).
+func TestRackGangWithinGuaranteeIsSpreadWhenNoRackComesFree(t *testing.T) {
+	sim := newSimulation(t, Plan, 0)
+	for i := range 4 {
+		sim.attachOf(i, 2, modeler.Resources{MilliCores: 32000, MemoryMB: 131072, Accelerators: 8})
+	}
+	first, second := lasting(1, 1), lasting(1, 1)
+	first.DataRack, second.DataRack = "r0", "r1"
+	sim.submit("service", "urgent", "guaranteed", 9000, first, second)
+	sim.run(1000, nil)
+	members := gang(2, 8, 2500)
+	members.OneRack = true
+	sim.submit("gang", "urgent", "guaranteed", 2500, members)
+	sim.checkStarts("gang", reclaimTime)
+}
--- a/internal/planner/sets.go
+++ b/internal/planner/sets.go
@@ -9,7 +9,7 @@
 type poolKey struct{ service, label string }
 
 // poolList holds the workers that a demand may use as pools in order of preference: the first pool that could hold the
-// demand if idle is used. The last pool is all eligible workers. Demands with the same poolKey share a list.
+// demand in time is used. The last pool is all eligible workers. Demands with the same poolKey share a list.
 type poolList []workerPool
 
 // all returns the pool of all eligible workers, avoided and suspect ones included.
@@ -61,7 +61,7 @@
 }
 
 // placementDomains returns sets of workers, one of which must hold the whole demand: the racks of a pool for a gang
-// that requires one rack, or else a pool as a whole. A gang that no rack could hold is spread across racks.
+// that requires one rack, or else a pool as a whole. A gang that no rack could hold in time is spread across racks.
 func (b *planBuilder) placementDomains(d demand) [][]*workerState {
 	pools := b.eligiblePools(d)
 	if d.step.Gang && d.step.OneRack {
@@ -72,18 +72,18 @@
 		}
 	}
 	for _, p := range pools {
-		if fitsWhenIdle(d, p.workers) {
+		if fitsInTime(d, p.workers) {
 			return [][]*workerState{p.workers}
 		}
 	}
 	return [][]*workerState{pools[len(pools)-1].workers}
 }
 
-// fitsWhenIdle reports whether the demand would fit if nothing else ran.
-func fitsWhenIdle(d demand, workers []*workerState) bool {
+// fitsInTime reports whether the demand would fit if nothing ran but what lasts and is not stopped for it.
+func fitsInTime(d demand, workers []*workerState) bool {
 	remaining := len(d.tasks)
 	for _, w := range workers {
-		remaining -= capPerWorker(d, d.step.Need.FitCount(w.info.Profile.Capacity, remaining))
+		remaining -= capPerWorker(d, d.step.Need.FitCount(w.roomInTime(d), remaining))
 		if remaining <= 0 {
 			return true
 		}
@@ -112,5 +112,5 @@
 }
 
 func anyRackFits(d demand, racks [][]*workerState) bool {
-	return slices.ContainsFunc(racks, func(rack []*workerState) bool { return fitsWhenIdle(d, rack) })
+	return slices.ContainsFunc(racks, func(rack []*workerState) bool { return fitsInTime(d, rack) })
 }
