--- a/internal/coordinator/agents.go
+++ b/internal/coordinator/agents.go
@@ -116,8 +116,8 @@
 // run that a later leader has assigned, the one from after it none that an earlier leader has withdrawn. The version is
 // that of the first state, so that the agent asks again at once for what came since.
 //
-// While this leader withdraws a run, the agent is told nothing, and watchResponse returns the version that it may not take
-// for known: the next leader, which may not withdraw the run, would never tell it.
+// While this leader withdraws a run, the agent is told of no run, so that it does not take an incomplete list for that of the
+// version: the next leader, which may not withdraw the run, would never tell it. watchResponse then returns that version.
 func (c *Coordinator) watchResponse(r *WatchRequest, before, state tracker.State) (response *WatchResponse, withheld uint64) {
 	w, ok := state.Worker(r.Worker)
 	if !ok || w.Detached || w.Epoch != r.Epoch {
@@ -143,9 +143,9 @@
 	return response, withheld
 }
 
-// Assignments returns what a worker's agent is told of the runs that the worker holds in both of two states, if send
-// permits it. They include the runs that are to end, whether or not the agent knew them: only what the agent is told of can
-// it report as ended, and until then it holds its room.
+// Assignments returns what a worker's agent is told of the runs that the worker holds in both of two states and that send
+// permits. They include runs that have nothing left to do but end, whether or not the agent knew them: it reports the end of no
+// other run that its runner does not list, and a run takes room until its end is reported.
 func Assignments(worker string, before, state tracker.State, send func(tracker.RunKey) bool) []Assignment {
 	var assignments []Assignment
 	w, _ := state.Worker(worker)
--- a/internal/coordinator/late.go
+++ b/internal/coordinator/late.go
@@ -24,7 +24,7 @@
 	maxLateLines = 20
 )
 
-// StartCause is why an assigned run has not begun.
+// StartCause is why a run that a worker holds is late to begin, or late to end.
 type StartCause uint8
 
 // The causes. The first ones are found by the leader, the others by the agent.
