Start the work of a crashed runner elsewhere once its address refuses calls

The agent took refused connections for silence unless the runner had deregistered before, so that the leader detached the worker with its lease.

Two polls in a row that find nothing listening show that the process has ended, as one does after a deregistration: the agent tells the leader, which detaches the worker, and waits for the next announcement. A runner that is frozen or cut off refuses nothing and keeps its lease. Event 4033 tells of it.

--- a/internal/executor/poll.go
+++ b/internal/executor/poll.go
@@ -119,7 +119,7 @@
 		s.detach("the runner's clock went back") // a lease must not be computed from either reading
 		return
 	}
-	s.failedPolls = 0
+	s.failedPolls, s.refusals = 0, 0
 	s.answeredPoll = r.serial
 	s.credibleEnd = lastCredible(max(s.credibleEnd, s.committedEnd), s.listing.Finished, r.listing.Finished)
 	if n := len(s.listing.Finished); n > 0 {
@@ -138,11 +138,14 @@
 	s.failedPolls++
 	if errors.Is(err, ErrNotListening) {
 		s.refusedPoll = serial
+		s.refusals++
+	} else {
+		s.refusals = 0
 	}
 	if s.failedPolls == unresponsiveAfter {
 		s.agent.log.Log(logger.RunnerCallFailed, logger.F("call", "hold"), logger.F("runner", s.incarnation.ID), logger.F("error", err))
 	}
-	if a, _ := s.agent.lastAnnouncement(); a.Deregistered {
+	if a, _ := s.agent.lastAnnouncement(); a.Deregistered || s.refusals >= crashRefusals {
 		wake(s.agent.changed)
 	}
 }
--- a/internal/executor/session.go
+++ b/internal/executor/session.go
@@ -16,6 +16,9 @@
 	retryDelay timekeeper.Millis = 150
 	// tickInterval is how often a session looks for calls to repeat while there may be any.
 	tickInterval = 50 * time.Millisecond
+	// crashRefusals is the number of polls in a row that find nothing listening from which the runner counts as crashed. The
+	// runner's process is gone with the first one; another one rules out a mistaken answer.
+	crashRefusals = 2
 	// callResultBuffer is the number of results of starts and stops that are buffered; beyond it, their goroutines
 	// block.
 	callResultBuffer = 64
@@ -47,6 +50,7 @@
 	sentPolls         int                // number of polls sent
 	failedPolls       int                // consecutive failed polls
 	refusedPoll       int                // number of the last poll that found nothing listening; zero if none
+	refusals          int                // consecutive polls that found nothing listening
 	committedEnd      int                // number of the last end that is committed to the log
 	reportedEnd       int                // number of the last end that was reported
 	credibleEnd       int                // number of the last listed end that may be reported
@@ -173,12 +177,13 @@
 	return a.Incarnation == s.incarnation && (a.Draining || a.Deregistered)
 }
 
-// handleChange closes the session when the runner has restarted, has deregistered and ended, or is in use again although it
-// was deregistered.
+// handleChange closes the session when the runner has restarted, has crashed, has deregistered and ended, or is in use again
+// although it was deregistered.
 //
 // A deregistration does not show that the runner has ended: without an acknowledgement in time it goes on for some
 // seconds. Neither does a poll without an answer, whose time may have passed while this process stood still. Only a later
-// poll that finds nothing listening shows it. Without one the leader detaches the worker when its lease has expired.
+// poll that finds nothing listening shows it. Without one the leader detaches the worker when its lease has expired. Of a
+// runner that was not deregistered crashRefusals of them show that it has crashed.
 func (s *session) handleChange(ctx context.Context) {
 	a, _ := s.agent.lastAnnouncement()
 	if a.Incarnation != s.incarnation || s.deregistered && !a.Deregistered {
@@ -189,7 +194,12 @@
 		s.pollsBeforeLeave = s.sentPolls
 	}
 	s.deregistered = a.Deregistered
-	if a.Deregistered && a.Draining && s.refusedPoll > s.pollsBeforeLeave {
+	switch {
+	case a.Deregistered && a.Draining && s.refusedPoll > s.pollsBeforeLeave:
+		s.deregister(ctx)
+	case s.refusals >= crashRefusals:
+		s.agent.log.Log(logger.RunnerCrashed, logger.F("runner", s.incarnation.ID), logger.F("epoch", s.epoch), logger.F("runs", len(s.runs)))
+		s.agent.refute(s.incarnation)
 		s.deregister(ctx)
 	}
 }
--- a/internal/executor/session_test.go
+++ b/internal/executor/session_test.go
@@ -315,6 +315,39 @@
 	}
 }
 
+// TestCrashedRunnerCountsAsEndedOnceNothingListens guards against work that stands until its lease has ended although its
+// runner has crashed and every poll is refused. A runner that only does not answer goes on.
+func TestCrashedRunnerCountsAsEndedOnceNothingListens(t *testing.T) {
+	late, refused := errors.New("no response"), fmt.Errorf("poll: %w", ErrNotListening)
+	tests := []struct {
+		name  string
+		polls []error
+		ended bool
+	}{
+		{"no poll is answered", []error{late, late, late}, false},
+		{"one is refused", []error{refused}, false},
+		{"one is refused and the next one answered", []error{refused, nil, refused}, false},
+		{"one is refused and the next one not answered", []error{refused, late, refused}, false},
+		{"two in a row are refused", []error{refused, refused}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			s := newTestSession(t, &fakeRunner{}, Listing{})
+			for _, err := range test.polls {
+				_, serial := s.nextPoll()
+				s.handlePollResult(pollResult{serial: serial, err: err, verdict: VerdictDone, listing: Listing{Incarnation: s.incarnation}})
+				s.handleChange(ctx)
+			}
+			a, _ := s.agent.lastAnnouncement()
+			if diff := cmp.Diff([]bool{test.ended, test.ended}, []bool{s.closed, a.Incarnation.ID == ""}); diff != "" {
+				t.Errorf("the session is closed, the agent waits for another announcement (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestDeregisteredRunnerCountsAsEndedOnceNothingListens guards against an agent that takes a runner for ended which goes on
 // under its lease, since its deregistration was not acknowledged in time and the poll in flight has failed, as both do
 // when the agent stands still. Its work would start a second time elsewhere.
--- a/internal/logger/catalogue.go
+++ b/internal/logger/catalogue.go
@@ -127,6 +127,7 @@
 	RunnerRestarted     = declare(4013, Info, "new runner incarnation", "The runner started or restarted. It has no state of an earlier incarnation; the agent attaches again.")
 	RunnerDraining      = declare(4014, Info, "runner draining", "The agent starts nothing there any more.")
 	RunnerDeregistered  = declare(4015, Info, "runner deregistered", "Nothing runs there any more.")
+	RunnerCrashed       = declare(4033, Warning, "runner crashed", "Nothing has listened at the runner's address for two polls in a row, so that its process has ended without a word. The agent tells the leader, which starts its runs elsewhere at once (2023). Look at the runner's own log.")
 	RunStarted          = declare(4016, Info, "run started", "The runner confirmed the start, or lists the run after a start without an answer. Gives the time since the agent received the run.")
 	RunStartOverdue     = declare(4030, Warning, "start overdue", "The agent has held the run for a second and the runner has not confirmed the start. Gives the cause, as in 2035, and the number of failed starts. Written once for a run.")
 	RunStartedLate      = declare(4031, Warning, "run began late", "The runner confirmed the start, or listed the run, more than a second after the agent received it.")
