Count steps in turn against a guarantee by what they need at once

A job counted with the sum of its steps, so that it seemed to be beyond its guarantee.

A job counts with the most that it can need at once: its steps are divided into chains that run in turn, and each chain counts with its widest step. That is exact for chains side by side, and too high for steps that fork and join; it is never too low.

--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -182,17 +182,38 @@
 	return text
 }
 
-// Accelerators returns the total need of all steps of one occurrence, which is what counts against a guarantee.
+// Accelerators returns how many accelerators one occurrence needs at once at most, which is what counts against a guarantee.
+// Steps that run in turn share theirs. The result is too high only for steps that fork and join in several ways.
 func (j Job) Accelerators() int {
-	n := 0
-	for _, s := range j.Steps {
-		n += s.Total().Accelerators
+	var chains []stepChain
+	earlier := make([]uint64, len(j.Steps)) // by step: the set of steps that are done before it starts
+	for i, s := range j.Steps {
+		for _, before := range s.After {
+			earlier[i] |= earlier[before] | 1<<before
+		}
+		need := s.Total().Accelerators
+		at := slices.IndexFunc(chains, func(c stepChain) bool { return earlier[i]&(1<<c.last) != 0 })
+		if at < 0 {
+			chains = append(chains, stepChain{i, need})
+			continue
+		}
+		chains[at] = stepChain{i, max(chains[at].most, need)}
+	}
+	total := 0
+	for _, c := range chains {
+		total += c.most
 	}
-	return n
+	return total
+}
+
+// stepChain is a number of steps that run in turn.
+type stepChain struct {
+	last int // index of the last step
+	most int // accelerators of the step that needs most
 }
 
 const (
-	maxSteps       = 64     // limits the state that one submission creates
+	maxSteps       = 64     // limits the state that one submission creates; a set of steps fits in 64 bits
 	maxTasks       = 4096   // likewise, per step
 	maxOccurrences = 1000   // likewise
 	maxTotalTasks  = 20_000 // likewise, in all steps and occurrences
--- a/internal/modeler/modeler_test.go
+++ b/internal/modeler/modeler_test.go
@@ -36,6 +36,31 @@
 	}
 }
 
+// TestStepsInTurnShareTheirAccelerators guards against an urgent job that counts as beyond its guarantee, so that nothing is
+// stopped for it, though the steps that run at once need no more than that.
+func TestStepsInTurnShareTheirAccelerators(t *testing.T) {
+	step := func(accelerators int, after ...int) Step {
+		return Step{Count: 2, Need: Resources{Accelerators: accelerators}, After: after}
+	}
+	tests := []struct {
+		name  string
+		steps []Step
+		want  int
+	}{
+		{"one step", []Step{step(4)}, 8},
+		{"steps in turn", []Step{step(1), step(4, 0), step(3, 1)}, 8},
+		{"steps side by side", []Step{step(1), step(4)}, 10},
+		{"in turn by way of another one", []Step{step(4), step(1, 0), step(4, 1), step(4, 2)}, 8},
+		{"two chains", []Step{step(4), step(1), step(2, 0), step(3, 1)}, 14},
+		{"a fork and a join, for which it is too high", []Step{step(1), step(2, 0), step(3, 0), step(4, 1, 2)}, 14},
+	}
+	for _, test := range tests {
+		if diff := cmp.Diff(test.want, Job{Steps: test.steps}.Accelerators()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
 // TestInvalidJobsAreRejected checks that the error for an invalid job names the fault.
 func TestInvalidJobsAreRejected(t *testing.T) {
 	tests := []struct {
