Give a task that was stopped as stalled twice the time in its next run

What callers saw: a job that takes far longer than declared is stopped for want of progress again and again, and without checkpoints never done.

A run whose percentage stays the same for 3 s and a twentieth of its estimate counts as stalled. One percent of a task of 800 s that is declared as 10 s takes 8 s.

The leader remembers how many runs of a task it stopped as stalled, and each doubles the time of the next run, up to 64 times. A task on a worker where work stands still is moved as soon as before; one that is just long is moved twice here and then left alone.

No play with real programs was made.

--- a/internal/coordinator/leader.go
+++ b/internal/coordinator/leader.go
@@ -174,6 +174,9 @@
 	}
 	for _, key := range plan.Stops {
 		p := in.Progress[key]
+		if p.Stalled {
+			c.observer.recordStall(key)
+		}
 		if p.Stalled || p.Slow {
 			c.recordStuckRun(in.State, key)
 		}
--- a/internal/coordinator/observer.go
+++ b/internal/coordinator/observer.go
@@ -15,6 +15,8 @@
 	// stallShare is the share of the task's estimate that is added to stallTime: one percent of a long task takes
 	// longer.
 	stallShare = 0.05
+	// maxStallDoublings bounds how often the time until a run counts as stalled is doubled: up to several minutes.
+	maxStallDoublings = 6
 )
 
 // runStats is what the leader has observed of a run.
@@ -36,12 +38,13 @@
 	workers map[string]*health
 	leaveAt map[string]timekeeper.Millis // by worker: when it may leave
 	begun   map[modeler.JobID]bool       // the unfinished jobs of which something has started
+	stalls  map[tracker.TaskKey]int      // number of runs that were stopped as stalled, of tasks of unfinished jobs
 }
 
 func newObserver() *observer {
 	return &observer{
 		runs: map[tracker.RunKey]*runStats{}, workers: map[string]*health{}, leaveAt: map[string]timekeeper.Millis{},
-		begun: map[modeler.JobID]bool{},
+		begun: map[modeler.JobID]bool{}, stalls: map[tracker.TaskKey]int{},
 	}
 }
 
@@ -92,6 +95,14 @@
 	return n
 }
 
+// recordStall records that a run is stopped as stalled. The next run of its task gets twice the time until it counts as
+// stalled, since the task may just be long: one percent of it may take longer than that time.
+func (o *observer) recordStall(key tracker.RunKey) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stalls[key.Task]++
+}
+
 // forgetEnded drops the observations of jobs that have ended. The caller holds mu.
 func (o *observer) forgetEnded(s tracker.State) {
 	for id := range o.begun {
@@ -99,6 +110,11 @@
 			delete(o.begun, id)
 		}
 	}
+	for key := range o.stalls {
+		if j, ok := s.Job(key.Job); !ok || j.Phase.Ended() {
+			delete(o.stalls, key)
+		}
+	}
 }
 
 func (o *observer) statsFor(key tracker.RunKey, now timekeeper.Millis) *runStats {
@@ -153,7 +169,7 @@
 			run := o.statsFor(r.Key, now)
 			kept[r.Key] = run
 			if j, ok := s.Job(r.Key.Task.Job); ok && !r.Stopping && j.IsCurrent(w.Name, r.Key) {
-				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], now)
+				progress[r.Key] = run.progress(j.Steps[r.Key.Task.Step], o.stalls[r.Key.Task], now)
 				projections = append(projections, run.project(r.Key, w.Name, expectedDuration(s, j, r.Key)))
 			}
 		}
@@ -174,7 +190,8 @@
 	return planner.Input{State: s, Progress: progress, Avoided: avoided, Suspect: suspect, DrainTimeLeft: drainTimeLeft}
 }
 
-func (r *runStats) progress(step modeler.Step, now timekeeper.Millis) planner.Progress {
+// progress returns the progress of a run of a step, earlier runs of whose task were stopped as stalled a number of times.
+func (r *runStats) progress(step modeler.Step, stalls int, now timekeeper.Millis) planner.Progress {
 	p := planner.Progress{Percent: r.percent, Checkpoint: r.checkpoint, Elapsed: now - r.firstSeen}
 	if r.firstReport == 0 || step.LongRunning {
 		return p
@@ -182,7 +199,8 @@
 	// While a worker is silent, lastReport stays the same and its runs do not count as stalled. Neither does a gang
 	// member that has done its part and waits for the others.
 	unchanged := r.lastReport - r.progressedAt
-	p.Stalled = r.percent < complete && unchanged > stallTime+timekeeper.Millis(stallShare*float64(step.Estimate))
+	patience := (stallTime + timekeeper.Millis(stallShare*float64(step.Estimate))) << min(stalls, maxStallDoublings)
+	p.Stalled = r.percent < complete && unchanged > patience
 	return p
 }
 
--- a/internal/coordinator/observer_test.go
+++ b/internal/coordinator/observer_test.go
@@ -122,6 +122,34 @@
 	}
 }
 
+// TestTaskFarLongerThanDeclaredIsDone guards against a task that is stopped for want of progress again and again, and never
+// done, since one percent of it takes longer than a run may stand still.
+func TestTaskFarLongerThanDeclaredIsDone(t *testing.T) {
+	const declared, took = 10 * timekeeper.Second, 800 * timekeeper.Second
+	c := newCluster(t, 1)
+	key := c.runJob("long", 1, declared)[0]
+	o := newObserver()
+	stops := 0
+	begun := timekeeper.Millis(1)
+	for now := begun; now-begun < took; now += 500 {
+		o.recordReports(now, []RunReport{{Run: key, Percent: int((now - begun) * 100 / took)}})
+		if !o.plannerInput(c.state, now).Progress[key].Stalled {
+			continue
+		}
+		if stops++; stops > 2 {
+			t.Fatalf("%v is stopped for the third time, after %v", key, now-begun)
+		}
+		o.recordStall(key)
+		c.apply(tracker.Command{Report: &tracker.Report{Worker: "w0", Epoch: 1, Ends: []tracker.End{{Number: stops, Run: key, Kind: tracker.EndStopped}}}})
+		key.Attempt++
+		c.apply(tracker.Command{Assign: &tracker.Assign{Starts: []tracker.Start{{Run: key, Worker: "w0", Epoch: 1}}}})
+		begun = now
+	}
+	if stops == 0 {
+		t.Error("the first run is not stopped, want it moved once or twice")
+	}
+}
+
 // TestUnreportedRunIsNotStalled has the reports stop in the middle of runs, as when a worker is cut off. Nothing is
 // known of such runs, which are lost only when the lease ends.
 func TestUnreportedRunIsNotStalled(t *testing.T) {
