--- a/internal/modeler/job.go
+++ b/internal/modeler/job.go
@@ -259,11 +259,21 @@
 	return nil
 }
 
+// notInID reports whether a job's id may not hold a character. Names of runs and lines of logs are made of ids, with other
+// characters around them.
+func notInID(r rune) bool {
+	letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+	return !letter && (r < '0' || r > '9') && r != '-' && r != '_'
+}
+
 // Check returns an error if the job is invalid regardless of the cluster.
 func (j Job) Check() error {
 	if j.ID == "" || len(j.ID) > maxIDBytes {
 		return fmt.Errorf("a job must have an id of 1 to %d bytes, got %d", maxIDBytes, len(j.ID))
 	}
+	if strings.ContainsFunc(string(j.ID), notInID) {
+		return errors.New("the id of a job must consist of letters, digits, '-' and '_'")
+	}
 	if err := j.CheckShape(); err != nil {
 		return err
 	}
