--- a/internal/planner/board.go
+++ b/internal/planner/board.go
@@ -21,8 +21,8 @@
 	taskCounts      map[groupKey]int  // tasks by group, those of this plan included; counts runs only of steps with MaxPerWorker
 	runs            []*assignedRun    // runs on the worker, without stopping and nearly done ones
 	releases        []release         // expected ends of runs, earliest first; nil until computed
-	lasting         modeler.Resources // held by runs that go on until they are stopped
-	unstoppable     modeler.Resources // the part of lasting that not even a guarantee can have
+	longRunning     modeler.Resources // held by runs that go on until they are stopped
+	unstoppable     modeler.Resources // the part of longRunning that not even a guarantee can have
 	held            []holding         // free resources that reservations of this plan hold
 }
 
@@ -135,7 +135,7 @@
 		run: run, worker: w, rank: c.rank, stopLoss: stopLoss(run, step.Checkpointing, progress) * c.lossWeight(),
 		back: back, group: group, gang: step.Gang,
 	}
-	w.countLasting(placed, step)
+	w.countLongRunning(placed, step)
 	if placed.gang {
 		b.gangs[group] = append(b.gangs[group], placed)
 	}
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -59,7 +59,7 @@
 // expected parallelism. Only guaranteed jobs preempt urgent runs, so that a wide step would block all others.
 const urgentParallelismFactor = 2
 
-// atParallelismLimit reports whether the step must not start more tasks now, even if they fit. No lasting step is at the limit:
+// atParallelismLimit reports whether the step must not start more tasks now, even if they fit. No long-running step is at the limit:
 // none of its tasks makes room for the next one by ending.
 func (d demand) atParallelismLimit() bool {
 	return d.rank == rankUrgent && !d.step.Gang && !d.step.LongRunning && d.assigned() >= urgentParallelismFactor*d.expectedParallelism()
--- a/internal/planner/play_test.go
+++ b/internal/planner/play_test.go
@@ -121,7 +121,7 @@
 		for _, r := range w.Runs {
 			at := sim.startedAt[r.Key]
 			p := Progress{Elapsed: sim.now - at, Percent: 100}
-			if !sim.lasts(r.Key) {
+			if !sim.isLongRunning(r.Key) {
 				p.Percent = int(sim.workDone(r.Key, at) * 100 / sim.durationOf(r.Key.Task))
 			}
 			in.Progress[r.Key] = p
@@ -130,8 +130,8 @@
 	return in
 }
 
-// lasts reports whether a run goes on until its job is cancelled.
-func (sim *simulation) lasts(key tracker.RunKey) bool {
+// isLongRunning reports whether a run goes on until its job is cancelled.
+func (sim *simulation) isLongRunning(key tracker.RunKey) bool {
 	j, ok := sim.state.Job(key.Task.Job)
 	return ok && j.Steps[key.Task.Step].LongRunning
 }
@@ -226,7 +226,7 @@
 
 func (sim *simulation) endKind(r tracker.Run) tracker.EndKind {
 	at, running := sim.startedAt[r.Key]
-	if running && !sim.lasts(r.Key) && sim.workDone(r.Key, at) >= sim.durationOf(r.Key.Task) {
+	if running && !sim.isLongRunning(r.Key) && sim.workDone(r.Key, at) >= sim.durationOf(r.Key.Task) {
 		return tracker.EndDone
 	}
 	if after, fails := sim.failAfter[r.Key]; running && fails && sim.now-at >= after {
--- a/internal/planner/preempt.go
+++ b/internal/planner/preempt.go
@@ -169,7 +169,7 @@
 	return list
 }
 
-// mayInterrupt reports whether the demand may stop a lasting run beside the victims found so far. Only a guarantee may, and no
+// mayInterrupt reports whether the demand may stop a long-running run beside the victims found so far. Only a guarantee may, and no
 // more tasks of the step may be away at once than its job permits.
 func (s *preemptionSearch) mayInterrupt(v *assignedRun, victims []*assignedRun) bool {
 	if s.demand.rank != rankGuaranteed {
@@ -182,18 +182,23 @@
 	if v.gang {
 		return step.Count <= step.MaxAway
 	}
-	away := s.builder.awayTasks(v.group)
-	for _, other := range victims {
-		if other.group == v.group {
-			away++
+	return s.builder.awayTasks(v.group)+s.victimsOf(v.group, victims) < step.MaxAway
+}
+
+// victimsOf returns the number of a group's tasks among the victims of the search and the further ones.
+func (s *preemptionSearch) victimsOf(group groupKey, further []*assignedRun) int {
+	n := 0
+	for _, v := range further {
+		if v.group == group {
+			n++
 		}
 	}
 	for _, key := range s.victims {
-		if key.Task.Job == v.group.job && s.builder.jobs[key.Task.Job].job.Instance(key.Task) == v.group.instance {
-			away++
+		if key.Task.Job == group.job && s.builder.jobs[group.job].job.Instance(key.Task) == group.instance {
+			n++
 		}
 	}
-	return away < step.MaxAway
+	return n
 }
 
 // awayTasks returns the number of tasks of a long-running step that are not known to be at work, or are being stopped.
--- a/internal/planner/return.go
+++ b/internal/planner/return.go
@@ -40,25 +40,25 @@
 	return newRoomReturn(&c.job.Steps[key.Task.Step], b.in.Progress[key])
 }
 
-// countLasting counts the room of a run that goes on until it is stopped. A guarantee may have it stopped for sure only if the
+// countLongRunning counts the room of a run that goes on until it is stopped. A guarantee may have it stopped for sure only if the
 // run's rank is lower and its job does not limit interruptions.
-func (w *workerState) countLasting(r *assignedRun, step *modeler.Step) {
+func (w *workerState) countLongRunning(r *assignedRun, step *modeler.Step) {
 	if !r.back.never {
 		return
 	}
-	w.lasting = w.lasting.Plus(r.run.Need)
+	w.longRunning = w.longRunning.Plus(r.run.Need)
 	if r.rank == rankGuaranteed || step.MaxAway > 0 {
 		w.unstoppable = w.unstoppable.Plus(r.run.Need)
 	}
 }
 
-// roomInTime returns the resources of the worker that a demand may have sooner or later: all but those of lasting runs that
+// roomInTime returns the resources of the worker that a demand may have sooner or later: all but those of long-running runs that
 // are not stopped for it.
 func (w *workerState) roomInTime(d demand) modeler.Resources {
 	if d.rank == rankGuaranteed {
 		return w.info.Profile.Capacity.Minus(w.unstoppable)
 	}
-	return w.info.Profile.Capacity.Minus(w.lasting)
+	return w.info.Profile.Capacity.Minus(w.longRunning)
 }
 
 // release is a return of room.
--- a/internal/planner/sets.go
+++ b/internal/planner/sets.go
@@ -79,7 +79,7 @@
 	return [][]*workerState{pools[len(pools)-1].workers}
 }
 
-// fitsInTime reports whether the demand would fit if nothing ran but what lasts and is not stopped for it.
+// fitsInTime reports whether the demand would fit if nothing ran but long-running tasks that are not stopped for it.
 func fitsInTime(d demand, workers []*workerState) bool {
 	remaining := len(d.tasks)
 	for _, w := range workers {
